--- /dev/null
+++ b/coordinator/src/main/java/org/pollensill/coordinator/ConfigFollower.java
@@ -0,0 +1,105 @@
+package org.pollensill.coordinator;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.pollensill.adapter.ConfigurationCodec;
+import org.pollensill.json.JsonSyntaxException;
+import org.pollensill.platform.Row;
+import org.pollensill.platform.RowStore;
+import org.pollensill.queue.QueueCatalogue;
+import org.pollensill.runtime.event.EventLog;
+
+/** Follows the operator's configuration. Versions only rise within one process. */
+final class ConfigFollower {
+
+    private static final EventLog LOG = EventLog.of(ConfigFollower.class);
+
+    /** Wait of the feed; a silent connection delays a change by this and the slack of the call. */
+    private static final long FEED_WAIT_MS = 1_000;
+
+    private static final long RETRY_MS = 200;
+
+    private final Loop loop;
+    private final RowStore store;
+    private final StoreHealth health;
+    private final Consumer<QueueCatalogue> listener;
+    private Optional<QueueCatalogue> current = Optional.empty();
+    private boolean stopped;
+
+    ConfigFollower(Loop loop, RowStore store, StoreHealth health, Consumer<QueueCatalogue> listener) {
+        this.loop = loop;
+        this.store = store;
+        this.health = health;
+        this.listener = listener;
+    }
+
+    void start() {
+        reread();
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    Optional<QueueCatalogue> current() {
+        return current;
+    }
+
+    private void reread() {
+        if (stopped) {
+            return;
+        }
+        // The page gives the version from which the feed continues without a gap.
+        health.watch(store.page(ConfigurationCodec.TABLE, "", 100)).whenComplete((page, failure) -> {
+            if (failure != null) {
+                loop.after(RETRY_MS, this::reread);
+                return;
+            }
+            page.rows().forEach(this::apply);
+            follow(page.version());
+        });
+    }
+
+    private void follow(long version) {
+        if (stopped) {
+            return;
+        }
+        health.watch(store.changesAfter(ConfigurationCodec.TABLE, version, FEED_WAIT_MS))
+                .whenComplete((changes, failure) -> {
+                    if (failure != null || changes.historyGone()) {
+                        loop.after(failure == null ? 0 : RETRY_MS, this::reread);
+                        return;
+                    }
+                    for (RowStore.Change change : changes.changes()) {
+                        if (!change.deleted()) {
+                            apply(change.row());
+                        }
+                    }
+                    follow(changes.version());
+                });
+    }
+
+    private void apply(Row row) {
+        if (!row.key().equals(ConfigurationCodec.KEY)) {
+            return;
+        }
+        try {
+            QueueCatalogue catalogue = ConfigurationCodec.decode(row.value());
+            if (current.isPresent() && current.get().version() >= catalogue.version()) {
+                return;
+            }
+            current = Optional.of(catalogue);
+            LOG.log(
+                    CoordinatorEvent.CONFIGURATION_APPLIED,
+                    "version",
+                    catalogue.version(),
+                    "queues",
+                    List.copyOf(catalogue.queues()).size());
+            listener.accept(catalogue);
+        } catch (JsonSyntaxException e) {
+            LOG.log(CoordinatorEvent.CONFIGURATION_UNREADABLE, "problem", e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
@@ -0,0 +1,131 @@
+package org.pollensill.coordinator;
+
+import java.util.Optional;
+import java.util.UUID;
+
+import io.netty.channel.EventLoopGroup;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.pollensill.adapter.ClientCodec;
+import org.pollensill.adapter.HttpRowStore;
+import org.pollensill.adapter.HttpRunnerService;
+import org.pollensill.platform.RowStore;
+import org.pollensill.runner.RunnerService;
+import org.pollensill.runtime.event.EventLog;
+import org.pollensill.runtime.event.RuntimeEvent;
+import org.pollensill.runtime.http.Answer;
+import org.pollensill.runtime.http.ClientLimits;
+import org.pollensill.runtime.http.HttpClient;
+import org.pollensill.runtime.http.HttpLimits;
+import org.pollensill.runtime.http.HttpServer;
+import org.pollensill.runtime.http.ListenException;
+import org.pollensill.runtime.http.Request;
+import org.pollensill.runtime.http.Responder;
+import org.pollensill.runtime.net.EventLoops;
+
+/** One coordinator process. */
+final class Coordinator {
+
+    private static final EventLog LOG = EventLog.of(Coordinator.class);
+
+    /** Longest time of a call to the store: a store that is a hundred times slower than usual still answers. */
+    private static final long STORE_TIMEOUT_MS = 1_500;
+
+    /** Longest time of an order to a runner in another region, with a second packet after a loss. */
+    private static final long ORDER_TIMEOUT_MS = 700;
+
+    /** Connections to one runner or to the store; the users' runners take 64 from all coordinators. */
+    private static final ClientLimits CLIENT = new ClientLimits(12, 2_048, 800, 60_000, 8 << 20);
+
+    /** Clients' requests; the users' configuration allows bodies of 256 KiB. */
+    private static final HttpLimits CLIENTS = new HttpLimits(256 << 10, 16 << 10, 60_000);
+
+    private final EventLoopGroup group;
+    private final Loop loop;
+    private final CoordinatorSettings settings;
+    private final HttpClient client;
+    private final StoreHealth health;
+    private final ConfigFollower config;
+    private final Leadership leadership;
+    private final JobEndpoint endpoint;
+    private Optional<HttpServer> clients = Optional.empty();
+    private Optional<HttpServer> readiness = Optional.empty();
+    private boolean stopping;
+
+    private Coordinator(CoordinatorSettings settings) {
+        this.settings = settings;
+        this.group = EventLoops.of(1);
+        this.loop = new Loop(group.next());
+        this.client = HttpClient.of(group, CLIENT);
+        this.health = new StoreHealth(loop);
+        RowStore store = HttpRowStore.of(client::send, settings.storeAddress(), STORE_TIMEOUT_MS);
+        RunnerService runners = HttpRunnerService.of(client::send, ORDER_TIMEOUT_MS);
+        String incarnation = settings.name() + "-" + UUID.randomUUID();
+        CoordinatorMetrics metrics = new CoordinatorMetrics(PrometheusRegistry.defaultRegistry);
+        this.config = new ConfigFollower(loop, store, health, catalogue -> {
+            metrics.configuration(catalogue.version());
+            applyCatalogue(catalogue);
+        });
+        this.leadership = new Leadership(loop, store, health, settings, metrics, runners, incarnation, config::current);
+        Intake intake = new Intake(loop, store, health, incarnation);
+        JobStates states = new JobStates(store, health);
+        this.endpoint = new JobEndpoint(loop, store, health, config, leadership, intake, states, metrics, settings);
+    }
+
+    private void applyCatalogue(org.pollensill.queue.QueueCatalogue catalogue) {
+        leadership.setCatalogue(catalogue);
+    }
+
+    /**
+     * Starts a coordinator.
+     *
+     * @param settings the settings
+     * @return the running coordinator
+     * @throws ListenException if an address cannot be used
+     */
+    static Coordinator start(CoordinatorSettings settings) throws ListenException {
+        Coordinator coordinator = new Coordinator(settings);
+        coordinator.listen();
+        coordinator.loop.run(() -> {
+            coordinator.config.start();
+            coordinator.leadership.start();
+        });
+        LOG.log(RuntimeEvent.STARTED, "machine", settings.name(), "zone", settings.zone());
+        return coordinator;
+    }
+
+    private void listen() throws ListenException {
+        readiness = Optional.of(HttpServer.listen(
+                group, settings.readinessAddress(), CLIENTS, Optional.empty(), this::answerReadiness));
+        clients = Optional.of(HttpServer.listen(group, settings.clientAddress(), CLIENTS, Optional.empty(), endpoint));
+    }
+
+    private void answerReadiness(Request request, Responder responder) {
+        if (!request.path().equals(ClientCodec.READINESS_PATH)) {
+            responder.answer(Answer.of(404));
+            return;
+        }
+        boolean ready = !stopping && config.current().isPresent() && health.available();
+        responder.answer(Answer.of(ready ? 200 : 503));
+    }
+
+    /**
+     * Stops gracefully: gives up the lease, answers the requests in progress and closes.
+     *
+     * @param stopped runs at the end
+     */
+    void stop(Runnable stopped) {
+        loop.run(() -> {
+            if (stopping) {
+                return;
+            }
+            stopping = true;
+            LOG.log(RuntimeEvent.STOPPING, "machine", settings.name());
+            leadership.stop(() -> clients.get().stop().thenRun(() -> {
+                config.stop();
+                client.close();
+                LOG.log(RuntimeEvent.STOPPED, "machine", settings.name());
+                stopped.run();
+            }));
+        });
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorSettings.java
@@ -0,0 +1,175 @@
+package org.pollensill.coordinator;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.pollensill.json.JsonObject;
+import org.pollensill.json.JsonSyntaxException;
+import org.pollensill.runtime.net.AddressException;
+import org.pollensill.runtime.net.Addresses;
+
+/**
+ * Settings of a coordinator, JSON with comments.
+ *
+ * @param name name of the machine
+ * @param zone its availability zone
+ * @param clientAddress where clients connect
+ * @param readinessAddress where the platform asks for readiness
+ * @param peerAddress where other coordinators connect
+ * @param storeAddress the platform's store
+ * @param metricsAddress where metrics are served, empty for nowhere
+ * @param stopWithinMs longest time of a graceful shutdown
+ * @param keepEndedMs how long the state of an ended job stays known
+ * @param maxRowBytes largest row of the store
+ * @param logLevel lowest level of log lines
+ */
+public record CoordinatorSettings(
+        String name,
+        String zone,
+        InetSocketAddress clientAddress,
+        InetSocketAddress readinessAddress,
+        InetSocketAddress peerAddress,
+        InetSocketAddress storeAddress,
+        Optional<InetSocketAddress> metricsAddress,
+        long stopWithinMs,
+        long keepEndedMs,
+        long maxRowBytes,
+        String logLevel) {
+
+    /** Default of {@code stopWithinMs}: below the shortest grace period of the users' deployments, 6 s. */
+    public static final long DEFAULT_STOP_WITHIN_MS = 5_000;
+
+    /** Default of {@code keepEndedMs}: the platform asks for 120 s. */
+    public static final long DEFAULT_KEEP_ENDED_MS = 150_000;
+
+    /** Default of {@code maxRowBytes}, the users' store. */
+    public static final long DEFAULT_MAX_ROW_BYTES = 65_536;
+
+    /**
+     * Creates settings.
+     *
+     * @throws NullPointerException if an argument is null
+     */
+    public CoordinatorSettings {
+        Objects.requireNonNull(name, "name is null");
+        Objects.requireNonNull(zone, "zone is null");
+        Objects.requireNonNull(clientAddress, "clientAddress is null");
+        Objects.requireNonNull(readinessAddress, "readinessAddress is null");
+        Objects.requireNonNull(peerAddress, "peerAddress is null");
+        Objects.requireNonNull(storeAddress, "storeAddress is null");
+        Objects.requireNonNull(metricsAddress, "metricsAddress is null");
+        Objects.requireNonNull(logLevel, "logLevel is null");
+    }
+
+    /**
+     * Reads a settings file.
+     *
+     * @param file the file
+     * @return the settings
+     * @throws SettingsFileException if the file cannot be read or has problems; all of them are listed
+     */
+    public static CoordinatorSettings read(Path file) throws SettingsFileException {
+        try {
+            return parse(Files.readString(file));
+        } catch (IOException e) {
+            throw new SettingsFileException(List.of("cannot read " + file + ": " + e.getMessage()));
+        }
+    }
+
+    /**
+     * Reads settings from text.
+     *
+     * @param text the text
+     * @return the settings
+     * @throws SettingsFileException if the text has problems; all of them are listed
+     */
+    public static CoordinatorSettings parse(String text) throws SettingsFileException {
+        JsonObject object;
+        try {
+            object = JsonObject.parse(text);
+        } catch (JsonSyntaxException e) {
+            throw new SettingsFileException(List.of("no JSON object: " + e.getMessage()));
+        }
+        Reader reader = new Reader(object);
+        String name = reader.text("name");
+        String zone = reader.text("zone");
+        Optional<InetSocketAddress> client = reader.address("clientAddress", true);
+        Optional<InetSocketAddress> readiness = reader.address("readinessAddress", true);
+        Optional<InetSocketAddress> peer = reader.address("peerAddress", true);
+        Optional<InetSocketAddress> store = reader.address("storeAddress", true);
+        Optional<InetSocketAddress> metrics = reader.address("metricsAddress", false);
+        long stopWithinMs = reader.number("stopWithinMs", DEFAULT_STOP_WITHIN_MS);
+        long keepEndedMs = reader.number("keepEndedMs", DEFAULT_KEEP_ENDED_MS);
+        long maxRowBytes = reader.number("maxRowBytes", DEFAULT_MAX_ROW_BYTES);
+        String logLevel = object.text("logLevel").orElse("info");
+        if (!reader.problems.isEmpty()) {
+            throw new SettingsFileException(reader.problems);
+        }
+        return new CoordinatorSettings(
+                name,
+                zone,
+                client.get(),
+                readiness.get(),
+                peer.get(),
+                store.get(),
+                metrics,
+                stopWithinMs,
+                keepEndedMs,
+                maxRowBytes,
+                logLevel);
+    }
+
+    /** Reads members and gathers their problems. */
+    private static final class Reader {
+
+        private final JsonObject object;
+        private final List<String> problems = new ArrayList<>();
+
+        Reader(JsonObject object) {
+            this.object = object;
+        }
+
+        String text(String member) {
+            Optional<String> text = object.text(member);
+            if (text.isEmpty() || text.get().isEmpty()) {
+                problems.add(member + ": a text is missing");
+                return "";
+            }
+            return text.get();
+        }
+
+        Optional<InetSocketAddress> address(String member, boolean required) {
+            Optional<String> text = object.text(member);
+            if (text.isEmpty() || text.get().isEmpty()) {
+                if (required) {
+                    problems.add(member + ": an address is missing");
+                }
+                return Optional.empty();
+            }
+            try {
+                return Optional.of(Addresses.parse(text.get()));
+            } catch (AddressException e) {
+                problems.add(member + ": " + e.getMessage());
+                return Optional.empty();
+            }
+        }
+
+        long number(String member, long defaultValue) {
+            if (!object.members().containsKey(member)) {
+                return defaultValue;
+            }
+            Optional<Long> number = object.whole(member);
+            if (number.isEmpty() || number.get() < 1) {
+                problems.add(member + ": a whole number above 0 is expected");
+                return defaultValue;
+            }
+            return number.get();
+        }
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/org/pollensill/coordinator/DecisionLog.java
@@ -0,0 +1,59 @@
+package org.pollensill.coordinator;
+
+import org.pollensill.dispatch.DispatchListener;
+import org.pollensill.job.JobStatus;
+import org.pollensill.job.TaskName;
+import org.pollensill.runtime.event.EventLog;
+
+/** Logs and counts the dispatcher's decisions. */
+final class DecisionLog implements DispatchListener {
+
+    private static final EventLog LOG = EventLog.of(DecisionLog.class);
+
+    private final Runnable onFenced;
+    private final CoordinatorMetrics metrics;
+
+    DecisionLog(CoordinatorMetrics metrics, Runnable onFenced) {
+        this.metrics = metrics;
+        this.onFenced = onFenced;
+    }
+
+    @Override
+    public void placed(TaskName task, int run, String runner, long waitedMs) {
+        metrics.placed(waitedMs);
+        LOG.log(CoordinatorEvent.TASK_PLACED, "task", task, "run", run, "runner", runner, "waitedMs", waitedMs);
+    }
+
+    @Override
+    public void started(TaskName task, int run, String runner) {
+        LOG.log(CoordinatorEvent.TASK_STARTED, "task", task, "run", run, "runner", runner);
+    }
+
+    @Override
+    public void done(TaskName task, int run, String runner) {
+        metrics.taskDone();
+        LOG.log(CoordinatorEvent.TASK_DONE, "task", task, "run", run, "runner", runner);
+    }
+
+    @Override
+    public void lost(TaskName task, int run, String runner, Cause cause) {
+        metrics.runLost(cause);
+        LOG.log(CoordinatorEvent.RUN_LOST, "task", task, "run", run, "runner", runner, "cause", cause);
+    }
+
+    @Override
+    public void status(String job, JobStatus status) {
+        LOG.log(CoordinatorEvent.JOB_STATUS, "job", job, "status", status);
+    }
+
+    @Override
+    public void setAside(String runner, int failures, long forMs) {
+        LOG.log(CoordinatorEvent.RUNNER_SET_ASIDE, "runner", runner, "failures", failures, "forMs", forMs);
+    }
+
+    @Override
+    public void fenced(String runner) {
+        LOG.log(CoordinatorEvent.FENCED, "runner", runner);
+        onFenced.run();
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Intake.java
@@ -0,0 +1,166 @@
+package org.pollensill.coordinator;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import org.pollensill.job.JobCodec;
+import org.pollensill.job.JobRequest;
+import org.pollensill.platform.Commit;
+import org.pollensill.platform.CommitOutcome;
+import org.pollensill.platform.Condition;
+import org.pollensill.platform.PlatformException;
+import org.pollensill.platform.RowStore;
+import org.pollensill.platform.Write;
+
+/**
+ * Stores accepted jobs, several in one transaction. Each job is written under the condition that it is absent, so that
+ * a repeat at any coordinator is the same job.
+ */
+final class Intake {
+
+    /** What is known about a job after an attempt to store it. */
+    enum Outcome {
+        /** It is stored. */
+        STORED,
+        /** It is not stored and never will be by this attempt. */
+        NOT_STORED,
+        /** It may have been stored, or will be. */
+        UNKNOWN
+    }
+
+    /** Most jobs in one transaction, half of what the store takes. */
+    private static final int MOST_JOBS = 50;
+
+    /** Most bytes in one transaction; the store takes 1 MB with a third more for its encoding. */
+    private static final int MOST_BYTES = 500_000;
+
+    private static final long RETRY_MS = 60;
+
+    /** A job that was certainly not written is tried this often before it is refused. */
+    private static final int REFUSED_ATTEMPTS = 2;
+
+    private static final class Pending {
+        private final String id;
+        private final String value;
+        private final long deadlineMs;
+        private final CompletableFuture<Outcome> result = new CompletableFuture<>();
+        private int refusals;
+        private boolean mayBeWritten;
+
+        private Pending(String id, String value, long deadlineMs) {
+            this.id = id;
+            this.value = value;
+            this.deadlineMs = deadlineMs;
+        }
+    }
+
+    private final Loop loop;
+    private final RowStore store;
+    private final StoreHealth health;
+    private final String commitPrefix;
+    private final Deque<Pending> waiting = new ArrayDeque<>();
+    private boolean inFlight;
+    private long commits;
+
+    Intake(Loop loop, RowStore store, StoreHealth health, String commitPrefix) {
+        this.loop = loop;
+        this.store = store;
+        this.health = health;
+        this.commitPrefix = commitPrefix;
+    }
+
+    /**
+     * Stores a job.
+     *
+     * @param job the job
+     * @param deadlineMs monotonic time at which the outcome must be known or given up
+     * @return the outcome
+     */
+    CompletableFuture<Outcome> store(JobRequest job, long deadlineMs) {
+        Pending pending = new Pending(job.id(), JobCodec.encode(job), deadlineMs);
+        waiting.add(pending);
+        send();
+        return pending.result;
+    }
+
+    private void send() {
+        if (inFlight || waiting.isEmpty()) {
+            return;
+        }
+        Map<String, Pending> batch = new LinkedHashMap<>();
+        List<Condition> conditions = new ArrayList<>();
+        List<Write> writes = new ArrayList<>();
+        int bytes = 0;
+        while (!waiting.isEmpty() && batch.size() < MOST_JOBS) {
+            Pending next = waiting.peek();
+            if (!batch.isEmpty() && bytes + next.value.length() > MOST_BYTES) {
+                break;
+            }
+            String key = Tables.jobKey(next.id);
+            if (batch.containsKey(key)) {
+                // Two requests for one job; the second waits for the outcome of the first.
+                break;
+            }
+            waiting.poll();
+            batch.put(key, next);
+            conditions.add(Condition.absent(key));
+            writes.add(Write.put(key, next.value));
+            bytes += next.value.length();
+        }
+        inFlight = true;
+        Commit commit = new Commit(commitPrefix + "-" + commits++, conditions, writes);
+        health.watch(store.commit(commit)).whenComplete((outcome, failure) -> {
+            inFlight = false;
+            if (failure == null) {
+                answered(batch, outcome);
+                send();
+                return;
+            }
+            failed(batch, PlatformException.effectOf(failure));
+            loop.after(RETRY_MS, this::send);
+        });
+    }
+
+    private void answered(Map<String, Pending> batch, CommitOutcome outcome) {
+        if (outcome instanceof CommitOutcome.Conflicted conflict) {
+            List<Pending> again = new ArrayList<>();
+            for (Map.Entry<String, Pending> entry : batch.entrySet()) {
+                if (conflict.versions().containsKey(entry.getKey())) {
+                    entry.getValue().result.complete(Outcome.STORED);
+                } else {
+                    again.add(entry.getValue());
+                }
+            }
+            putBack(again);
+            return;
+        }
+        batch.values().forEach(pending -> pending.result.complete(Outcome.STORED));
+    }
+
+    private void failed(Map<String, Pending> batch, PlatformException.Effect effect) {
+        List<Pending> again = new ArrayList<>();
+        for (Pending pending : batch.values()) {
+            pending.mayBeWritten |= effect == PlatformException.Effect.UNKNOWN;
+            pending.refusals++;
+            if (!pending.mayBeWritten && pending.refusals >= REFUSED_ATTEMPTS) {
+                pending.result.complete(Outcome.NOT_STORED);
+            } else if (loop.nowMs() + RETRY_MS >= pending.deadlineMs) {
+                pending.result.complete(pending.mayBeWritten ? Outcome.UNKNOWN : Outcome.NOT_STORED);
+            } else {
+                again.add(pending);
+            }
+        }
+        putBack(again);
+    }
+
+    private void putBack(List<Pending> again) {
+        for (int i = again.size() - 1; i >= 0; i--) {
+            waiting.addFirst(again.get(i));
+        }
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/org/pollensill/coordinator/JobEndpoint.java
@@ -0,0 +1,221 @@
+package org.pollensill.coordinator;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.regex.Pattern;
+
+import org.pollensill.adapter.ClientCodec;
+import org.pollensill.job.JobRequest;
+import org.pollensill.job.JobStatus;
+import org.pollensill.json.JsonSyntaxException;
+import org.pollensill.leader.LeaderRow;
+import org.pollensill.platform.Commit;
+import org.pollensill.platform.PlatformException;
+import org.pollensill.platform.RowStore;
+import org.pollensill.platform.Write;
+import org.pollensill.queue.QueuePolicy;
+import org.pollensill.runtime.event.EventLog;
+import org.pollensill.runtime.http.Answer;
+import org.pollensill.runtime.http.HttpHandler;
+import org.pollensill.runtime.http.Request;
+import org.pollensill.runtime.http.Responder;
+
+/** Answers clients: jobs handed in, questions for their state, cancellations. */
+final class JobEndpoint implements HttpHandler {
+
+    private static final EventLog LOG = EventLog.of(JobEndpoint.class);
+    private static final Pattern ID = Pattern.compile("[0-9a-fA-F]{16}");
+
+    /** Wait of a client that names no deadline. */
+    private static final long DEFAULT_DEADLINE_MS = 3_000;
+
+    /** Part of a client's wait that is left for the way back. */
+    private static final long WAY_BACK_MS = 150;
+
+    private static final long RETRY_MS = 100;
+    private static final int RETRY_AFTER_S = 1;
+
+    private final Loop loop;
+    private final RowStore store;
+    private final StoreHealth health;
+    private final ConfigFollower config;
+    private final Leadership leadership;
+    private final Intake intake;
+    private final JobStates states;
+    private final CoordinatorMetrics metrics;
+    private final CoordinatorSettings settings;
+
+    JobEndpoint(
+            Loop loop,
+            RowStore store,
+            StoreHealth health,
+            ConfigFollower config,
+            Leadership leadership,
+            Intake intake,
+            JobStates states,
+            CoordinatorMetrics metrics,
+            CoordinatorSettings settings) {
+        this.loop = loop;
+        this.store = store;
+        this.health = health;
+        this.config = config;
+        this.leadership = leadership;
+        this.intake = intake;
+        this.states = states;
+        this.metrics = metrics;
+        this.settings = settings;
+    }
+
+    @Override
+    public void handle(Request request, Responder responder) {
+        if (config.current().isEmpty()) {
+            responder.answer(unavailable());
+            return;
+        }
+        String host = request.headers().get("Host").orElse("").replaceFirst(":[0-9]+$", "");
+        Optional<QueuePolicy> queue = config.current().get().match(host, request.path());
+        if (queue.isEmpty()) {
+            responder.answer(Answer.of(404));
+            return;
+        }
+        String id = request.path().substring(queue.get().pathPrefix().length());
+        if (id.isEmpty() && request.method().equals("GET")) {
+            answer("waiting", responder, waiting(queue.get()));
+            return;
+        }
+        if (!ID.matcher(id).matches()) {
+            responder.answer(Answer.of(404));
+            return;
+        }
+        long deadlineMs = loop.nowMs() + ClientCodec.deadlineMs(request.headers(), DEFAULT_DEADLINE_MS) - WAY_BACK_MS;
+        switch (request.method()) {
+            case "POST":
+                submit(id, queue.get(), request, responder, deadlineMs);
+                return;
+            case "GET":
+                show(id, responder, deadlineMs);
+                return;
+            case "DELETE":
+                cancel(id, responder, deadlineMs, false);
+                return;
+            default:
+                responder.answer(Answer.of(405));
+        }
+    }
+
+    private void answer(String call, Responder responder, Answer answer) {
+        metrics.request(call, answer.status());
+        responder.answer(answer);
+    }
+
+    private static Answer unavailable() {
+        return Answer.of(503).withHeader("Retry-After", Integer.toString(RETRY_AFTER_S));
+    }
+
+    private Answer waiting(QueuePolicy queue) {
+        Optional<Integer> own = leadership.session().flatMap(session -> session.waitingJobs(queue.name()));
+        if (own.isPresent()) {
+            return ClientCodec.waiting(own.get());
+        }
+        Optional<LeaderRow> leader = leadership.leader();
+        if (leader.isEmpty()) {
+            return unavailable();
+        }
+        return ClientCodec.waiting(leader.get().waitingJobs().getOrDefault(queue.name(), 0));
+    }
+
+    private void submit(String id, QueuePolicy queue, Request request, Responder responder, long deadlineMs) {
+        JobRequest job;
+        try {
+            job = ClientCodec.job(id, queue, request.body(), loop.wallMs());
+        } catch (JsonSyntaxException e) {
+            LOG.log(CoordinatorEvent.JOB_REFUSED, "job", id, "queue", queue.name(), "reason", e.getMessage());
+            answer("submit", responder, Answer.of(400));
+            return;
+        }
+        if (request.body().length > settings.maxRowBytes()) {
+            LOG.log(CoordinatorEvent.JOB_REFUSED, "job", id, "queue", queue.name(), "reason", "too large");
+            answer("submit", responder, Answer.of(413));
+            return;
+        }
+        if (!health.available()) {
+            LOG.log(CoordinatorEvent.JOB_REFUSED, "job", id, "queue", queue.name(), "reason", "store lost");
+            answer("submit", responder, unavailable());
+            return;
+        }
+        long receivedMs = loop.nowMs();
+        intake.store(job, deadlineMs).thenAccept(outcome -> {
+            long tookMs = loop.nowMs() - receivedMs;
+            switch (outcome) {
+                case STORED:
+                    LOG.log(CoordinatorEvent.JOB_ACCEPTED, "job", id, "queue", queue.name(), "tookMs", tookMs);
+                    answer("submit", responder, Answer.of(200));
+                    return;
+                case NOT_STORED:
+                    LOG.log(
+                            CoordinatorEvent.JOB_REFUSED,
+                            "job",
+                            id,
+                            "queue",
+                            queue.name(),
+                            "reason",
+                            "store refused",
+                            "tookMs",
+                            tookMs);
+                    answer("submit", responder, unavailable());
+                    return;
+                default:
+                    LOG.log(CoordinatorEvent.JOB_UNCERTAIN, "job", id, "queue", queue.name(), "tookMs", tookMs);
+                    answer("submit", responder, Answer.of(504));
+            }
+        });
+    }
+
+    private void show(String id, Responder responder, long deadlineMs) {
+        Optional<JobStatus> own = leadership.session().flatMap(session -> session.status(id));
+        if (own.isPresent()) {
+            answer("show", responder, ClientCodec.status(own.get()));
+            return;
+        }
+        states.read(id).whenComplete((status, failure) -> {
+            if (failure == null) {
+                answer("show", responder, status.map(ClientCodec::status).orElse(Answer.of(410)));
+                return;
+            }
+            if (loop.nowMs() + RETRY_MS < deadlineMs) {
+                loop.after(RETRY_MS, () -> show(id, responder, deadlineMs));
+                return;
+            }
+            LOG.log(CoordinatorEvent.JOB_UNANSWERED, "job", id, "problem", failure.getMessage());
+            answer("show", responder, unavailable());
+        });
+    }
+
+    private void cancel(String id, Responder responder, long deadlineMs, boolean mayBeWritten) {
+        states.read(id)
+                .thenCompose(status -> status.isEmpty() || status.get().isFinal()
+                        ? CompletableFuture.completedFuture(status)
+                        : writeCancel(id).thenApply(done -> status))
+                .whenComplete((status, failure) -> {
+                    if (failure == null) {
+                        LOG.log(CoordinatorEvent.JOB_CANCELLED, "job", id, "known", status.isPresent());
+                        answer("cancel", responder, Answer.of(status.isPresent() ? 200 : 410));
+                        return;
+                    }
+                    boolean uncertain =
+                            mayBeWritten || PlatformException.effectOf(failure) == PlatformException.Effect.UNKNOWN;
+                    if (loop.nowMs() + RETRY_MS < deadlineMs) {
+                        loop.after(RETRY_MS, () -> cancel(id, responder, deadlineMs, uncertain));
+                        return;
+                    }
+                    LOG.log(CoordinatorEvent.JOB_UNANSWERED, "job", id, "problem", failure.getMessage());
+                    answer("cancel", responder, uncertain ? Answer.of(504) : unavailable());
+                });
+    }
+
+    private CompletableFuture<?> writeCancel(String id) {
+        Commit commit = new Commit(
+                "cancel-" + id, java.util.List.of(), java.util.List.of(Write.put(Tables.cancelKey(id), "{}")));
+        return health.watch(store.commit(commit));
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/org/pollensill/coordinator/JobStates.java
@@ -0,0 +1,71 @@
+package org.pollensill.coordinator;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import org.pollensill.job.JobCodec;
+import org.pollensill.job.JobStatus;
+import org.pollensill.json.JsonSyntaxException;
+import org.pollensill.platform.Prefix;
+import org.pollensill.platform.Row;
+import org.pollensill.platform.RowStore;
+import org.pollensill.runtime.event.EventLog;
+
+/** Reads a job's state from the store. */
+final class JobStates {
+
+    private static final EventLog LOG = EventLog.of(JobStates.class);
+
+    private final RowStore store;
+    private final StoreHealth health;
+
+    JobStates(RowStore store, StoreHealth health) {
+        this.store = store;
+        this.health = health;
+    }
+
+    /**
+     * Reads a state.
+     *
+     * @param id the job
+     * @return the state, empty where no such job is stored; fails where the store does not answer
+     */
+    CompletableFuture<Optional<JobStatus>> read(String id) {
+        // One range holds the job and its cancellation.
+        List<Prefix> accepted = List.of(new Prefix(Tables.jobKey(id), "", 2));
+        return health.watch(store.read(List.of(Tables.progressKey(id)), accepted))
+                .thenApply(JobStates::status);
+    }
+
+    private static Optional<JobStatus> status(List<Row> rows) {
+        boolean known = false;
+        boolean cancelled = false;
+        Optional<JobStatus> recorded = Optional.empty();
+        for (Row row : rows) {
+            if (Tables.isCancel(row.key())) {
+                cancelled = true;
+            } else if (row.key().startsWith(Tables.INTAKE + "/")) {
+                known = true;
+            } else {
+                recorded = recorded(row);
+            }
+        }
+        if (recorded.isPresent() && recorded.get().isFinal()) {
+            return recorded;
+        }
+        if (cancelled && known) {
+            return Optional.of(JobStatus.CANCELLED);
+        }
+        return known ? Optional.of(recorded.orElse(JobStatus.QUEUED)) : Optional.empty();
+    }
+
+    private static Optional<JobStatus> recorded(Row row) {
+        try {
+            return Optional.of(JobCodec.decodeRecord(row.value()).status());
+        } catch (JsonSyntaxException e) {
+            LOG.log(CoordinatorEvent.ROW_UNREADABLE, "key", row.key(), "problem", e.getMessage());
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
@@ -0,0 +1,300 @@
+package org.pollensill.coordinator;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.pollensill.adapter.RunnerEntryCodec;
+import org.pollensill.dispatch.Batch;
+import org.pollensill.dispatch.Dispatcher;
+import org.pollensill.job.JobCodec;
+import org.pollensill.job.JobRecord;
+import org.pollensill.job.JobStatus;
+import org.pollensill.json.JsonSyntaxException;
+import org.pollensill.leader.CommitChain;
+import org.pollensill.platform.Row;
+import org.pollensill.platform.RowStore;
+import org.pollensill.platform.Write;
+import org.pollensill.queue.QueueCatalogue;
+import org.pollensill.runner.RunnerEntry;
+import org.pollensill.runner.RunnerService;
+import org.pollensill.runtime.event.EventLog;
+
+/** What a coordinator does while it leads: loads the state, feeds the dispatcher and commits its decisions. */
+final class LeaderSession {
+
+    private static final EventLog LOG = EventLog.of(LeaderSession.class);
+
+    /** Period of the dispatcher's timers. */
+    private static final long TICK_MS = 50;
+
+    /** Period of reading the runners' rows; they change with every heartbeat, so a feed would not pay. */
+    private static final long RUNNERS_MS = 600;
+
+    /** The lease is renewed this often while there is nothing to record. */
+    private static final long RENEWAL_MS = 700;
+
+    /** Least time between the begins of two commits, so that the changes of a moment share one. */
+    private static final long COMMIT_SPACING_MS = 12;
+
+    private static final long LOAD_RETRY_MS = 150;
+    private static final int PAGE = 500;
+    private static final int EXPIRED_JOBS_AT_ONCE = 25;
+
+    private final Loop loop;
+    private final RowStore store;
+    private final StoreHealth health;
+    private final CoordinatorSettings settings;
+    private final Committer committer;
+    private final OrderSender orders;
+    private final Dispatcher dispatcher;
+    private final IntakeFeed intake;
+    private final Map<String, JobRecord> records = new HashMap<>();
+    private boolean recordsLoaded;
+    private boolean jobsLoaded;
+    private boolean runnersLoaded;
+    private boolean stopped;
+    private boolean pumpScheduled;
+    private boolean releasing;
+    private final long tookOverAtMs;
+
+    LeaderSession(
+            Loop loop,
+            RowStore store,
+            StoreHealth health,
+            CoordinatorSettings settings,
+            CoordinatorMetrics metrics,
+            RunnerService runners,
+            CommitChain chain,
+            long formerUnconfirmedMs,
+            Runnable onDeposed) {
+        this.loop = loop;
+        this.store = store;
+        this.health = health;
+        this.settings = settings;
+        this.tookOverAtMs = loop.nowMs();
+        this.committer = new Committer(loop, store, health, chain, metrics, onDeposed, this::pump);
+        this.orders = new OrderSender(loop, runners, chain.row().fence(), this::pump);
+        this.dispatcher = Dispatcher.takeOver(
+                chain.row().fence(),
+                loop.nowMs(),
+                formerUnconfirmedMs,
+                Tables.PROGRESS + "/",
+                orders,
+                new DecisionLog(metrics, committer::confirmSoon));
+        this.orders.attach(dispatcher);
+        this.intake = new IntakeFeed(loop, store, health, this::onIntake);
+    }
+
+    void start(Optional<QueueCatalogue> catalogue) {
+        catalogue.ifPresent(dispatcher::setCatalogue);
+        loadRecords("");
+        loadRunners();
+        tick();
+    }
+
+    void setCatalogue(QueueCatalogue catalogue) {
+        dispatcher.setCatalogue(catalogue);
+        pump();
+    }
+
+    /** Ends all activity without a word to the store. */
+    void stop() {
+        stopped = true;
+        orders.stop();
+        intake.stop();
+        committer.stop();
+    }
+
+    /**
+     * Gives up the lease after the commit in flight; no order is sent any more.
+     *
+     * @param released runs when the store knows, or when this coordinator no longer leads
+     */
+    void release(Runnable released) {
+        releasing = true;
+        orders.stop();
+        committer.release(dispatcher.waitingJobs(), () -> {
+            stop();
+            released.run();
+        });
+    }
+
+    Optional<JobStatus> status(String id) {
+        return loaded() ? dispatcher.status(id) : Optional.empty();
+    }
+
+    Optional<Integer> waitingJobs(String queue) {
+        return loaded() ? Optional.of(dispatcher.waitingJobs().getOrDefault(queue, 0)) : Optional.empty();
+    }
+
+    private boolean loaded() {
+        return jobsLoaded && runnersLoaded;
+    }
+
+    private void loadRecords(String after) {
+        if (stopped) {
+            return;
+        }
+        health.watch(store.page(Tables.PROGRESS, after, PAGE)).whenComplete((page, failure) -> {
+            if (stopped) {
+                return;
+            }
+            if (failure != null) {
+                loop.after(LOAD_RETRY_MS, () -> loadRecords(after));
+                return;
+            }
+            for (Row row : page.rows()) {
+                loadRecord(row);
+            }
+            if (page.truncated() && !page.rows().isEmpty()) {
+                loadRecords(Tables.jobId(page.rows().get(page.rows().size() - 1).key()));
+                return;
+            }
+            recordsLoaded = true;
+            intake.start();
+        });
+    }
+
+    private void loadRecord(Row row) {
+        try {
+            records.put(Tables.jobId(row.key()), JobCodec.decodeRecord(row.value()));
+        } catch (JsonSyntaxException e) {
+            LOG.log(CoordinatorEvent.ROW_UNREADABLE, "key", row.key(), "problem", e.getMessage());
+        }
+    }
+
+    private void onIntake(List<Row> rows) {
+        loop.run(() -> {
+            long nowMs = loop.nowMs();
+            for (Row row : rows) {
+                if (!Tables.isCancel(row.key())) {
+                    addJob(row, nowMs);
+                }
+            }
+            for (Row row : rows) {
+                if (Tables.isCancel(row.key())) {
+                    dispatcher.cancel(Tables.jobId(row.key()), nowMs);
+                }
+            }
+            if (!jobsLoaded) {
+                jobsLoaded = true;
+                records.clear();
+                logLoaded();
+            }
+            pump();
+        });
+    }
+
+    private void addJob(Row row, long nowMs) {
+        try {
+            Optional<JobRecord> record = Optional.ofNullable(records.get(Tables.jobId(row.key())));
+            dispatcher.addJob(JobCodec.decode(row.value()), record, nowMs);
+        } catch (JsonSyntaxException e) {
+            LOG.log(CoordinatorEvent.ROW_UNREADABLE, "key", row.key(), "problem", e.getMessage());
+        }
+    }
+
+    private void loadRunners() {
+        readRunners("", new ArrayList<>());
+    }
+
+    private void readRunners(String after, List<RunnerEntry> entries) {
+        if (stopped) {
+            return;
+        }
+        health.watch(store.page(RunnerEntryCodec.TABLE, after, PAGE)).whenComplete((page, failure) -> {
+            if (stopped) {
+                return;
+            }
+            if (failure != null) {
+                loop.after(RUNNERS_MS, this::loadRunners);
+                return;
+            }
+            for (Row row : page.rows()) {
+                RunnerEntryCodec.decode(row).ifPresent(entries::add);
+            }
+            if (page.truncated() && !page.rows().isEmpty()) {
+                String last = page.rows().get(page.rows().size() - 1).key();
+                readRunners(last.substring(last.indexOf('/') + 1), entries);
+                return;
+            }
+            dispatcher.updateRunners(entries, loop.nowMs());
+            if (!runnersLoaded) {
+                runnersLoaded = true;
+                logLoaded();
+            }
+            loop.after(RUNNERS_MS, this::loadRunners);
+            pump();
+        });
+    }
+
+    private void logLoaded() {
+        if (loaded()) {
+            LOG.log(CoordinatorEvent.STATE_LOADED, "tookMs", loop.nowMs() - tookOverAtMs);
+        }
+    }
+
+    private void tick() {
+        if (stopped) {
+            return;
+        }
+        if (!releasing) {
+            dispatcher.tick(loop.nowMs(), loop.wallMs(), committer.mayExtendLeases());
+            pump();
+        }
+        loop.after(TICK_MS, this::tick);
+    }
+
+    /** Commits what the dispatcher has decided, as soon as a commit may begin. */
+    private void pump() {
+        if (stopped || releasing || committer.busy()) {
+            return;
+        }
+        long nowMs = loop.nowMs();
+        long waitMs = committer.lastBeganMs() + COMMIT_SPACING_MS - nowMs;
+        if (waitMs > 0) {
+            if (!pumpScheduled) {
+                pumpScheduled = true;
+                loop.after(waitMs, () -> {
+                    pumpScheduled = false;
+                    pump();
+                });
+            }
+            return;
+        }
+        // Nothing is decided before all that is recorded is known.
+        Optional<Batch> batch = loaded() ? dispatcher.plan(nowMs) : Optional.empty();
+        boolean renew = nowMs - committer.lastBeganMs() >= RENEWAL_MS || committer.confirmationWanted();
+        if (batch.isEmpty() && !renew) {
+            return;
+        }
+        List<Write> writes = new ArrayList<>();
+        batch.ifPresent(changes -> writes.addAll(changes.writes()));
+        if (batch.isEmpty() && loaded()) {
+            writes.addAll(expired(nowMs));
+        }
+        committer.commit(dispatcher.waitingJobs(), writes, committed -> {
+            if (batch.isEmpty()) {
+                return;
+            }
+            if (committed) {
+                dispatcher.committed(batch.get(), loop.nowMs());
+            } else {
+                dispatcher.withdrawn(batch.get());
+            }
+        });
+    }
+
+    private List<Write> expired(long nowMs) {
+        List<Write> deletes = new ArrayList<>();
+        for (String id : dispatcher.takeExpired(nowMs - settings.keepEndedMs(), EXPIRED_JOBS_AT_ONCE)) {
+            deletes.add(Write.delete(Tables.jobKey(id)));
+            deletes.add(Write.delete(Tables.cancelKey(id)));
+            deletes.add(Write.delete(Tables.progressKey(id)));
+        }
+        return deletes;
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/org/pollensill/coordinator/OrderSender.java
@@ -0,0 +1,82 @@
+package org.pollensill.coordinator;
+
+import org.pollensill.dispatch.Dispatcher;
+import org.pollensill.dispatch.Orders;
+import org.pollensill.job.TaskName;
+import org.pollensill.runner.HoldOrder;
+import org.pollensill.runner.RunnerAddress;
+import org.pollensill.runner.RunnerService;
+import org.pollensill.runner.StartOrder;
+
+/** Sends the dispatcher's orders and brings the answers back to it. */
+final class OrderSender implements Orders {
+
+    private final Loop loop;
+    private final RunnerService runners;
+    private final long fence;
+    private final Runnable afterAnswer;
+    private Dispatcher dispatcher;
+    private boolean stopped;
+
+    OrderSender(Loop loop, RunnerService runners, long fence, Runnable afterAnswer) {
+        this.loop = loop;
+        this.runners = runners;
+        this.fence = fence;
+        this.afterAnswer = afterAnswer;
+    }
+
+    void attach(Dispatcher owner) {
+        dispatcher = owner;
+    }
+
+    /** Sends nothing from now on; answers that are still to come are dropped. */
+    void stop() {
+        stopped = true;
+    }
+
+    private void answered(Runnable action) {
+        loop.run(() -> {
+            if (!stopped) {
+                action.run();
+                afterAnswer.run();
+            }
+        });
+    }
+
+    @Override
+    public void start(RunnerAddress to, StartOrder order) {
+        if (stopped) {
+            return;
+        }
+        runners.start(to, order)
+                .thenAccept(answer ->
+                        answered(() -> dispatcher.onStart(order.task(), order.run(), to.id(), answer, loop.nowMs())));
+    }
+
+    @Override
+    public void stop(RunnerAddress to, TaskName task, int run) {
+        if (stopped) {
+            return;
+        }
+        runners.stop(to, task, run, fence)
+                .thenAccept(answer -> answered(() -> dispatcher.onStop(task, run, to.id(), answer, loop.nowMs())));
+    }
+
+    @Override
+    public void hold(RunnerAddress to, HoldOrder order, long sequence) {
+        if (stopped) {
+            return;
+        }
+        runners.hold(to, order)
+                .thenAccept(answer -> answered(() -> dispatcher.onHold(to.id(), sequence, answer, loop.nowMs())));
+    }
+
+    @Override
+    public void pace(RunnerAddress to, TaskName task, int run, int percent) {
+        if (stopped) {
+            return;
+        }
+        // Without an answer the next report shows whether the tail has eased, and the pace is sent again.
+        runners.pace(to, task, run, percent, fence);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
@@ -0,0 +1,405 @@
+package org.pollensill.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.pollensill.dispatch.DispatchListener.Cause;
+import org.pollensill.job.JobRecord;
+import org.pollensill.job.JobRequest;
+import org.pollensill.job.JobStatus;
+import org.pollensill.job.TaskName;
+import org.pollensill.queue.QueueCatalogue;
+import org.pollensill.runner.HoldAnswer;
+import org.pollensill.runner.OrderAnswer;
+import org.pollensill.runner.OrderOutcome;
+import org.pollensill.runner.RunnerAddress;
+import org.pollensill.runner.RunnerClock;
+import org.pollensill.runner.RunnerEntry;
+import org.pollensill.runner.StartOrder;
+
+/**
+ * The leader's decisions. A placement is recorded before its start is sent, an end is acknowledged after it is
+ * recorded, and a task is started again only when no runner can hold it. Times are monotonic milliseconds.
+ */
+public final class Dispatcher {
+
+    /** A start without an answer is repeated this often before the run is stopped; repeating it is harmless. */
+    private static final int START_ATTEMPTS = 3;
+
+    private final long fence;
+    private final Orders orders;
+    private final DispatchListener listener;
+    private final Fleet fleet;
+    private final Recorder recorder;
+    private final JobTable jobs;
+    private final RunnerHealth health;
+    private final Reports reports;
+    private final Sharing sharing;
+    private final Scheduling scheduling;
+    private final Upkeep upkeep;
+
+    private Dispatcher(
+            long fence, long nowMs, long heldForMs, String recordKeyPrefix, Orders orders, DispatchListener listener) {
+        this.fence = fence;
+        this.orders = orders;
+        this.listener = listener;
+        this.fleet = new Fleet(nowMs + heldForMs);
+        this.recorder = new Recorder(recordKeyPrefix);
+        this.jobs = new JobTable(recorder, listener);
+        this.health = new RunnerHealth(listener);
+        this.reports = new Reports(jobs, recorder, health, listener, orders);
+        this.sharing = new Sharing(orders, reports);
+        this.scheduling = new Scheduling(jobs, fleet, recorder, listener);
+        this.upkeep = new Upkeep(jobs, fleet, reports, health, orders, fence);
+    }
+
+    /**
+     * Creates the dispatcher of a coordinator that has just become the leader.
+     *
+     * @param fence its fencing token
+     * @param nowMs the time of the takeover
+     * @param formerUnconfirmedMs how long the former leader may go on extending leases, counted from now
+     * @param recordKeyPrefix beginning of the keys under which progress is stored
+     * @param orders takes the orders
+     * @param listener is told of each decision
+     * @return the dispatcher, without jobs and runners
+     */
+    public static Dispatcher takeOver(
+            long fence,
+            long nowMs,
+            long formerUnconfirmedMs,
+            String recordKeyPrefix,
+            Orders orders,
+            DispatchListener listener) {
+        Objects.requireNonNull(recordKeyPrefix, "recordKeyPrefix is null");
+        Objects.requireNonNull(orders, "orders is null");
+        Objects.requireNonNull(listener, "listener is null");
+        long heldForMs =
+                formerUnconfirmedMs + RunnerClock.longestMs(DispatchTiming.LEASE_MS) + DispatchTiming.MARGIN_MS;
+        return new Dispatcher(fence, nowMs, heldForMs, recordKeyPrefix, orders, listener);
+    }
+
+    /**
+     * Returns how long a former leader may have gone on extending leases after its last commit.
+     *
+     * @return the time in milliseconds
+     */
+    public static long unconfirmedHoldMs() {
+        return DispatchTiming.UNCONFIRMED_HOLD_MS;
+    }
+
+    /**
+     * Takes the operator's configuration.
+     *
+     * @param catalogue the queues
+     */
+    public void setCatalogue(QueueCatalogue catalogue) {
+        jobs.setCatalogue(Objects.requireNonNull(catalogue, "catalogue is null"));
+    }
+
+    /**
+     * Adds an accepted job; a job that is known already is left as it is.
+     *
+     * @param request the job
+     * @param record its recorded progress, empty where it has none
+     * @param nowMs the time
+     */
+    public void addJob(JobRequest request, Optional<JobRecord> record, long nowMs) {
+        jobs.add(request, record, fleet, nowMs);
+    }
+
+    /**
+     * Cancels a job, unless it has ended.
+     *
+     * @param id the job
+     * @param nowMs the time
+     */
+    public void cancel(String id, long nowMs) {
+        Optional<JobState> job = jobs.get(id);
+        if (job.isEmpty() || job.get().status.isFinal()) {
+            return;
+        }
+        jobs.finish(job.get(), JobStatus.CANCELLED, nowMs);
+        reports.stopAll(job.get(), nowMs);
+    }
+
+    /**
+     * Takes the list of runners.
+     *
+     * @param entries all runners that can be used
+     * @param nowMs the time
+     */
+    public void updateRunners(List<RunnerEntry> entries, long nowMs) {
+        fleet.update(entries, runner -> endLife(runner, nowMs));
+    }
+
+    private void endLife(RunnerState runner, long nowMs) {
+        for (TaskState task : new ArrayList<>(runner.tasks.values())) {
+            reports.lose(task, Cause.RUNNER_RESTARTED, nowMs, 0);
+        }
+    }
+
+    /**
+     * Places tasks and takes the changes that must be recorded next.
+     *
+     * @param nowMs the time
+     * @return the changes, empty where there are none
+     */
+    public Optional<Batch> plan(long nowMs) {
+        scheduling.place(nowMs);
+        Optional<Batch> batch = recorder.take();
+        if (batch.isEmpty()) {
+            acknowledge(recorder.takeSettledEnds(), nowMs);
+        }
+        return batch;
+    }
+
+    /**
+     * Notes that a batch is durable, and sends the starts that waited for it.
+     *
+     * @param batch the batch
+     * @param nowMs the time
+     */
+    public void committed(Batch batch, long nowMs) {
+        for (Map.Entry<JobState, JobStatus> status : batch.statuses().entrySet()) {
+            status.getKey().recorded = status.getValue();
+        }
+        acknowledge(batch.ends(), nowMs);
+        for (Batch.Placement placement : batch.placements()) {
+            TaskState task = placement.task();
+            if (task.phase == TaskState.Phase.PLACED && task.run == placement.run()) {
+                task.phase = TaskState.Phase.ORDERED;
+                task.confirmedAtHold = Long.MAX_VALUE;
+                sendStart(task, nowMs);
+            }
+        }
+    }
+
+    private static void acknowledge(Map<RunnerState, Long> ends, long nowMs) {
+        for (Map.Entry<RunnerState, Long> end : ends.entrySet()) {
+            RunnerState runner = end.getKey();
+            if (end.getValue() <= runner.seenEnd) {
+                runner.durableEnd = Math.max(runner.durableEnd, end.getValue());
+                runner.nextHoldAtMs = Math.min(runner.nextHoldAtMs, nowMs);
+            }
+        }
+    }
+
+    /**
+     * Takes back a batch that was certainly not written.
+     *
+     * @param batch the batch
+     */
+    public void withdrawn(Batch batch) {
+        recorder.restore(batch);
+    }
+
+    private void sendStart(TaskState task, long nowMs) {
+        RunnerState runner = task.runner;
+        Optional<RunnerAddress> to = runner.address();
+        if (to.isEmpty() || runner.clock.isEmpty()) {
+            reports.lose(task, Cause.RUNNER_RESTARTED, nowMs, 0);
+            return;
+        }
+        long untilMs = runner.clock.get().leastMs(nowMs) + DispatchTiming.START_LEASE_MS;
+        runner.grantUntil(untilMs);
+        task.startAttempts++;
+        orders.start(
+                to.get(),
+                new StartOrder(
+                        task.name,
+                        task.run,
+                        task.step.job.request.payload(),
+                        untilMs,
+                        fence,
+                        task.checkpoint,
+                        Optional.empty()));
+    }
+
+    /**
+     * Takes the answer to a start.
+     *
+     * @param name the task
+     * @param run the run
+     * @param runnerId the runner
+     * @param answer the answer
+     * @param nowMs the time
+     */
+    public void onStart(TaskName name, int run, String runnerId, OrderAnswer answer, long nowMs) {
+        noteFence(runnerId, answer.outcome());
+        Optional<RunnerState> found = fleet.get(runnerId);
+        Optional<TaskState> ordered = jobs.task(name);
+        if (found.isEmpty() || ordered.isEmpty()) {
+            return;
+        }
+        RunnerState runner = found.get();
+        TaskState task = ordered.get();
+        if (task.run != run || task.runner != runner || task.phase != TaskState.Phase.ORDERED) {
+            return;
+        }
+        switch (answer.outcome()) {
+            case ACCEPTED:
+                answer.clockMs().ifPresent(clockMs -> runner.clock = Optional.of(RunnerClock.of(clockMs, nowMs)));
+                reports.confirm(task, runner);
+                return;
+            case UNANSWERED, FENCED:
+                onUnknownStart(task, answer.outcome(), nowMs);
+                return;
+            case OTHER_RUNNER:
+                endLife(runner, nowMs);
+                runner.listed = false;
+                return;
+            case NO_ROOM:
+                runner.noRoomUntilMs = nowMs + DispatchTiming.NO_ROOM_MS;
+                break;
+            case UNHEALTHY:
+                health.failed(runner, name.jobId(), nowMs);
+                runner.noRoomUntilMs = nowMs + DispatchTiming.NO_ROOM_MS;
+                break;
+            default:
+                runner.noRoomUntilMs = nowMs + DispatchTiming.RETRY_MS;
+                break;
+        }
+        if (task.startAttempts > 1) {
+            // An earlier attempt of the same run had no answer and may still be carried out.
+            reports.stop(task, Cause.REFUSED, nowMs);
+            return;
+        }
+        reports.lose(task, Cause.REFUSED, nowMs, 0);
+    }
+
+    private void onUnknownStart(TaskState task, OrderOutcome outcome, long nowMs) {
+        if (outcome == OrderOutcome.UNANSWERED && !task.stopping && task.startAttempts < START_ATTEMPTS) {
+            sendStart(task, nowMs);
+            return;
+        }
+        reports.stop(task, Cause.REFUSED, nowMs);
+    }
+
+    /**
+     * Takes the answer to a stop.
+     *
+     * @param name the task
+     * @param run the run
+     * @param runnerId the runner
+     * @param answer the answer
+     * @param nowMs the time
+     */
+    public void onStop(TaskName name, int run, String runnerId, OrderAnswer answer, long nowMs) {
+        noteFence(runnerId, answer.outcome());
+        Optional<RunnerState> runner = fleet.get(runnerId);
+        if (runner.isEmpty()) {
+            return;
+        }
+        TaskState task = runner.get().tasks.get(name);
+        if (task == null || task.run != run) {
+            return;
+        }
+        boolean settled = answer.outcome() == OrderOutcome.ACCEPTED || answer.outcome() == OrderOutcome.OLD_RUN;
+        if (settled && task.phase == TaskState.Phase.ORDERED) {
+            // The run cannot begin any more, so the next report tells whether it had begun.
+            task.confirmedAtHold = runner.get().holdSequence;
+            runner.get().nextHoldAtMs = nowMs;
+        }
+    }
+
+    /**
+     * Takes the answer to a hold.
+     *
+     * @param runnerId the runner
+     * @param sequence the hold's number
+     * @param answer the answer
+     * @param nowMs the time
+     */
+    public void onHold(String runnerId, long sequence, HoldAnswer answer, long nowMs) {
+        noteFence(runnerId, answer.outcome());
+        Optional<RunnerState> found = fleet.get(runnerId);
+        if (found.isEmpty() || found.get().holdSequence != sequence) {
+            return;
+        }
+        RunnerState runner = found.get();
+        runner.holdInFlight = false;
+        if (answer.outcome() == OrderOutcome.OTHER_RUNNER) {
+            endLife(runner, nowMs);
+            runner.listed = false;
+            runner.nextHoldAtMs = nowMs + DispatchTiming.UNRECORDED_RENEWAL_MS;
+            return;
+        }
+        if (answer.report().isEmpty()) {
+            runner.silentHolds++;
+            runner.nextHoldAtMs = nowMs + DispatchTiming.RETRY_MS;
+            return;
+        }
+        long bornMs = answer.report().get().bornMs();
+        if (bornMs != 0 && bornMs != runner.bornMs) {
+            endLife(runner, nowMs);
+            runner.beginLife(bornMs);
+        }
+        reports.apply(runner, sequence, answer.report().get(), nowMs);
+        sharing.apply(runner, answer.report().get(), nowMs);
+        // Ends must be durable before the next hold can acknowledge them.
+        boolean unrecorded = runner.seenEnd > runner.durableEnd;
+        runner.nextHoldAtMs = unrecorded ? nowMs + DispatchTiming.UNRECORDED_RENEWAL_MS : nowMs;
+    }
+
+    private void noteFence(String runnerId, OrderOutcome outcome) {
+        if (outcome == OrderOutcome.FENCED) {
+            listener.fenced(runnerId);
+        }
+    }
+
+    /**
+     * Gives the orders whose time has come.
+     *
+     * @param nowMs the time
+     * @param wallMs the time of day
+     * @param mayExtend whether leases may be extended, because the leader lease was confirmed recently
+     */
+    public void tick(long nowMs, long wallMs, boolean mayExtend) {
+        jobs.makeDue(wallMs, nowMs);
+        upkeep.tick(nowMs, mayExtend);
+    }
+
+    /**
+     * Returns the state of a job that may be shown.
+     *
+     * @param id the job
+     * @return the state, empty where the job is not known here
+     */
+    public Optional<JobStatus> status(String id) {
+        return jobs.get(id).map(JobState::visible);
+    }
+
+    /**
+     * Returns the number of jobs by queue for which no task has started.
+     *
+     * @return the numbers
+     */
+    public Map<String, Integer> waitingJobs() {
+        return jobs.waitingByQueue();
+    }
+
+    /**
+     * Returns the jobs that ended before a time and forgets them.
+     *
+     * @param endedBeforeMs the time
+     * @param most the most jobs to return
+     * @return their identities
+     */
+    public List<String> takeExpired(long endedBeforeMs, int most) {
+        List<String> expired = new ArrayList<>();
+        for (JobState job : new ArrayList<>(jobs.all())) {
+            if (expired.size() >= most) {
+                break;
+            }
+            if (job.recorded.isFinal() && job.finalAtMs < endedBeforeMs) {
+                expired.add(job.request.id());
+                jobs.forget(job);
+            }
+        }
+        return expired;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollensill/dispatch/JobTable.java
@@ -0,0 +1,236 @@
+package org.pollensill.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.pollensill.job.JobRecord;
+import org.pollensill.job.JobRequest;
+import org.pollensill.job.JobStatus;
+import org.pollensill.job.TaskName;
+import org.pollensill.job.TaskRecord;
+import org.pollensill.job.Trait;
+import org.pollensill.queue.QueueCatalogue;
+import org.pollensill.queue.QueuePolicy;
+
+/** The accepted jobs, the steps whose turn has come, and the rules by which jobs reach a final state. */
+final class JobTable {
+
+    /** Objective of a job whose queue is not configured any more. */
+    private static final long DEFAULT_OBJECTIVE_MS = 10_000;
+
+    private static final Comparator<StepState> BY_URGENCY = Comparator.<StepState>comparingInt(
+                    step -> step.job.priority)
+            .thenComparingLong(step -> step.job.deadlineMs());
+
+    private final Map<String, JobState> jobs = new LinkedHashMap<>();
+    private final Set<StepState> ready = new LinkedHashSet<>();
+    private final Set<StepState> scheduled = new LinkedHashSet<>();
+    private final Recorder recorder;
+    private final DispatchListener listener;
+    private QueueCatalogue catalogue = new QueueCatalogue(0, List.of());
+
+    JobTable(Recorder recorder, DispatchListener listener) {
+        this.recorder = recorder;
+        this.listener = listener;
+    }
+
+    Collection<JobState> all() {
+        return jobs.values();
+    }
+
+    Optional<JobState> get(String id) {
+        return Optional.ofNullable(jobs.get(id));
+    }
+
+    Optional<TaskState> task(TaskName name) {
+        JobState job = jobs.get(name.jobId());
+        if (job == null || !job.contains(name.occurrence(), name.step(), name.index())) {
+            return Optional.empty();
+        }
+        return Optional.of(job.step(name.occurrence(), name.step()).tasks.get(name.index()));
+    }
+
+    void setCatalogue(QueueCatalogue newCatalogue) {
+        catalogue = newCatalogue;
+        for (JobState job : jobs.values()) {
+            if (!job.status.isFinal()) {
+                applyPolicy(job);
+            }
+        }
+    }
+
+    private void applyPolicy(JobState job) {
+        Optional<QueuePolicy> found = catalogue.named(job.request.queue());
+        if (found.isEmpty()) {
+            job.objectiveMs = Math.max(job.objectiveMs, DEFAULT_OBJECTIVE_MS);
+            return;
+        }
+        QueuePolicy queue = found.get();
+        job.priority = queue.priority();
+        job.attempts = Math.max(1, queue.attempts());
+        job.service = queue.service();
+        job.objectiveMs = (long) (queue.stretch() * job.request.chainMs()) + queue.targetLatencyMs();
+    }
+
+    /** Adds a job; a job that is known already is left as it is. */
+    void add(JobRequest request, Optional<JobRecord> record, Fleet fleet, long nowMs) {
+        if (jobs.containsKey(request.id())) {
+            return;
+        }
+        JobState job = new JobState(request, nowMs);
+        jobs.put(request.id(), job);
+        applyPolicy(job);
+        if (record.isPresent()) {
+            restore(job, record.get(), fleet);
+        }
+        if (job.status.isFinal()) {
+            job.finalAtMs = nowMs;
+            return;
+        }
+        for (StepState step : job.steps) {
+            consider(step, nowMs);
+        }
+        finishIfComplete(job, nowMs);
+    }
+
+    private void restore(JobState job, JobRecord record, Fleet fleet) {
+        job.status = record.status();
+        job.recorded = record.status();
+        for (TaskRecord stored : record.tasks()) {
+            if (!job.contains(stored.occurrence(), stored.step(), stored.index())) {
+                continue;
+            }
+            StepState step = job.step(stored.occurrence(), stored.step());
+            TaskState task = step.tasks.get(stored.index());
+            task.run = stored.run();
+            task.failures = stored.failures();
+            task.checkpoint = stored.checkpoint();
+            if (stored.done()) {
+                task.phase = TaskState.Phase.DONE;
+                step.done++;
+                continue;
+            }
+            if (stored.place().isPresent()) {
+                TaskRecord.Place place = stored.place().get();
+                RunnerState runner = fleet.recorded(place.runnerId(), place.bornMs());
+                if (runner.bornMs == place.bornMs()) {
+                    task.phase = TaskState.Phase.ORDERED;
+                    task.runner = runner;
+                    // Any report counts: the runner refuses orders of former leaders before it reports to this one.
+                    task.confirmedAtHold = -1;
+                    runner.add(task);
+                }
+            }
+        }
+    }
+
+    /** Makes a step ready where all steps before it are done; a timed one waits for its time. */
+    private void consider(StepState step, long nowMs) {
+        if (step.ready || step.complete()) {
+            return;
+        }
+        for (int before : step.spec.after()) {
+            if (before >= 0
+                    && before < step.number
+                    && !step.job.step(step.occurrence, before).complete()) {
+                return;
+            }
+        }
+        if (step.job.request.timetable().timed()) {
+            scheduled.add(step);
+            return;
+        }
+        makeReady(step, nowMs);
+    }
+
+    private void makeReady(StepState step, long nowMs) {
+        step.ready = true;
+        for (TaskState task : step.tasks) {
+            task.readySinceMs = nowMs;
+        }
+        ready.add(step);
+    }
+
+    /** Makes the steps ready whose time of day has come. */
+    void makeDue(long wallMs, long nowMs) {
+        for (StepState step : new ArrayList<>(scheduled)) {
+            if (step.job.status.isFinal()) {
+                scheduled.remove(step);
+                continue;
+            }
+            if (wallMs >= step.job.request.timetable().dueMs(step.occurrence)) {
+                scheduled.remove(step);
+                makeReady(step, nowMs);
+            }
+        }
+    }
+
+    /** Returns the steps with tasks that may start, most urgent first; jobs that cannot earn any more come last. */
+    List<StepState> readySteps(long nowMs) {
+        List<StepState> steps = new ArrayList<>();
+        List<StepState> late = new ArrayList<>();
+        for (StepState step : new ArrayList<>(ready)) {
+            if (step.job.status.isFinal() || step.complete()) {
+                ready.remove(step);
+                continue;
+            }
+            boolean lasting = step.spec.is(Trait.RESTART_ALWAYS);
+            (lasting || step.job.canStillEarn(nowMs) ? steps : late).add(step);
+        }
+        steps.sort(BY_URGENCY);
+        late.sort(BY_URGENCY);
+        steps.addAll(late);
+        return steps;
+    }
+
+    void taskDone(TaskState task, long nowMs) {
+        StepState step = task.step;
+        task.phase = TaskState.Phase.DONE;
+        task.release();
+        step.done++;
+        recorder.changed(step.job);
+        if (!step.complete()) {
+            return;
+        }
+        ready.remove(step);
+        int stepsEach = step.job.request.steps().size();
+        for (int i = step.number + 1; i < stepsEach; i++) {
+            consider(step.job.step(step.occurrence, i), nowMs);
+        }
+        finishIfComplete(step.job, nowMs);
+    }
+
+    private void finishIfComplete(JobState job, long nowMs) {
+        if (!job.status.isFinal() && job.complete()) {
+            finish(job, JobStatus.DONE, nowMs);
+        }
+    }
+
+    void finish(JobState job, JobStatus status, long nowMs) {
+        job.status = status;
+        job.finalAtMs = nowMs;
+        recorder.changed(job);
+        listener.status(job.request.id(), status);
+    }
+
+    void forget(JobState job) {
+        jobs.remove(job.request.id());
+    }
+
+    Map<String, Integer> waitingByQueue() {
+        Map<String, Integer> waiting = new LinkedHashMap<>();
+        for (JobState job : jobs.values()) {
+            if (job.status == JobStatus.QUEUED) {
+                waiting.merge(job.request.queue(), 1, Integer::sum);
+            }
+        }
+        return waiting;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerHealth.java
@@ -0,0 +1,44 @@
+package org.pollensill.dispatch;
+
+/** Judges runners by how runs end there. */
+final class RunnerHealth {
+
+    /** A runner is set aside after this many failures of different jobs in a row. */
+    static final int FAILURES_TO_SET_ASIDE = 3;
+
+    private static final int MOST_DOUBLINGS = 4;
+
+    private final DispatchListener listener;
+
+    RunnerHealth(DispatchListener listener) {
+        this.listener = listener;
+    }
+
+    void done(RunnerState runner) {
+        runner.failures = 0;
+        runner.lastFailedJob = "";
+    }
+
+    /** Counts a failure; several tasks of one job count once, since the job itself may be at fault. */
+    void failed(RunnerState runner, String job, long nowMs) {
+        if (job.equals(runner.lastFailedJob)) {
+            return;
+        }
+        runner.lastFailedJob = job;
+        runner.failures++;
+        if (runner.failures < FAILURES_TO_SET_ASIDE) {
+            return;
+        }
+        int doublings = Math.min(MOST_DOUBLINGS, runner.failures - FAILURES_TO_SET_ASIDE);
+        long forMs = Math.min(DispatchTiming.SET_ASIDE_MOST_MS, DispatchTiming.SET_ASIDE_MS << doublings);
+        runner.setAsideUntilMs = nowMs + forMs;
+        listener.setAside(runner.id, runner.failures, forMs);
+    }
+
+    /** Counts a run that stood still, which only the runner can be blamed for. */
+    void stalled(RunnerState runner, long nowMs) {
+        runner.failures = Math.max(runner.failures + 1, FAILURES_TO_SET_ASIDE);
+        runner.setAsideUntilMs = nowMs + DispatchTiming.SET_ASIDE_MOST_MS / 2;
+        listener.setAside(runner.id, runner.failures, DispatchTiming.SET_ASIDE_MOST_MS / 2);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerState.java
@@ -0,0 +1,142 @@
+package org.pollensill.dispatch;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.pollensill.job.TaskName;
+import org.pollensill.job.Trait;
+import org.pollensill.runner.RunnerAddress;
+import org.pollensill.runner.RunnerClock;
+import org.pollensill.runner.RunnerEntry;
+import org.pollensill.worker.Resources;
+
+/** One life of a runner in the leader's memory, with the tasks that it holds or may hold. */
+final class RunnerState {
+
+    final String id;
+    long bornMs;
+    /** The runner's own description, empty where it is only known from records. */
+    Optional<RunnerEntry> entry = Optional.empty();
+
+    boolean listed;
+    final Map<TaskName, TaskState> tasks = new LinkedHashMap<>();
+    Resources counted = Resources.NONE;
+    long fillingMillicores;
+    int serving;
+
+    /** Whether the runner has answered to this leader's fencing token. */
+    boolean fenced;
+
+    Optional<RunnerClock> clock = Optional.empty();
+    /** Latest end of a lease that this runner may have been granted, on its own clock. */
+    long leaseUntilMs;
+
+    /** Local time at which leases granted by former leaders have surely expired. */
+    long inheritedLapseAtMs;
+
+    boolean holdInFlight;
+    long holdSequence;
+    long nextHoldAtMs;
+    long answeredAtMs;
+    int silentHolds;
+    long seenEnd;
+    long durableEnd;
+    long acknowledgedEnd;
+
+    int failures;
+    String lastFailedJob = "";
+    long setAsideUntilMs;
+    long noRoomUntilMs;
+    /** Share at which tasks that fill work beside tasks that serve. */
+    int fillPace = TaskState.FULL_PACE;
+
+    long fillPaceChangedAtMs;
+
+    RunnerState(String id, long bornMs) {
+        this.id = Objects.requireNonNull(id, "id is null");
+        this.bornMs = bornMs;
+    }
+
+    void add(TaskState task) {
+        if (tasks.put(task.name, task) != null) {
+            return;
+        }
+        count(task, 1);
+    }
+
+    void remove(TaskState task) {
+        if (tasks.remove(task.name) == null) {
+            return;
+        }
+        count(task, -1);
+    }
+
+    private void count(TaskState task, int sign) {
+        Resources need = task.step.spec.counted();
+        counted = sign > 0 ? counted.plus(need) : counted.minus(need);
+        if (task.step.spec.is(Trait.FILLS)) {
+            fillingMillicores += sign * task.step.spec.need().processorsMillicores();
+        }
+        if (task.step.spec.serving().targetTailMs() > 0) {
+            serving += sign;
+        }
+    }
+
+    Resources capacity() {
+        return entry.map(RunnerEntry::capacity).orElse(Resources.NONE);
+    }
+
+    boolean draining() {
+        return entry.map(RunnerEntry::draining).orElse(false);
+    }
+
+    Optional<RunnerAddress> address() {
+        return entry.map(found -> new RunnerAddress(id, found.address()));
+    }
+
+    boolean accepts(long nowMs) {
+        return listed
+                && fenced
+                && silentHolds == 0
+                && !draining()
+                && nowMs >= setAsideUntilMs
+                && nowMs >= noRoomUntilMs;
+    }
+
+    /** Returns the processors that neither counted tasks nor tasks that fill are expected to use. */
+    long idleMillicores() {
+        return capacity().processorsMillicores() - counted.processorsMillicores() - fillingMillicores;
+    }
+
+    /** Returns the local time at which nothing that was ordered can run any more, unless a hold extends the lease. */
+    long lapsedAtMs() {
+        if (!fenced || clock.isEmpty()) {
+            return inheritedLapseAtMs;
+        }
+        return clock.get().surelyPassedAtMs(leaseUntilMs) + DispatchTiming.MARGIN_MS;
+    }
+
+    void grantUntil(long untilMs) {
+        leaseUntilMs = Math.max(leaseUntilMs, untilMs);
+    }
+
+    /** Forgets what belonged to the runner's former life. Its tasks must have been released. */
+    void beginLife(long newBornMs) {
+        bornMs = newBornMs;
+        fenced = false;
+        clock = Optional.empty();
+        leaseUntilMs = 0;
+        inheritedLapseAtMs = 0;
+        seenEnd = 0;
+        durableEnd = 0;
+        acknowledgedEnd = 0;
+        failures = 0;
+        setAsideUntilMs = 0;
+        noRoomUntilMs = 0;
+        nextHoldAtMs = 0;
+        silentHolds = 0;
+        fillPace = TaskState.FULL_PACE;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollensill/dispatch/Scheduling.java
@@ -0,0 +1,121 @@
+package org.pollensill.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.pollensill.job.Trait;
+import org.pollensill.runner.RunnerEntry;
+
+/** Places the waiting tasks of all ready steps, most urgent first. */
+final class Scheduling {
+
+    private final JobTable jobs;
+    private final Fleet fleet;
+    private final Recorder recorder;
+    private final DispatchListener listener;
+
+    Scheduling(JobTable jobs, Fleet fleet, Recorder recorder, DispatchListener listener) {
+        this.jobs = jobs;
+        this.fleet = fleet;
+        this.recorder = recorder;
+        this.listener = listener;
+    }
+
+    void place(long nowMs) {
+        for (StepState step : jobs.readySteps(nowMs)) {
+            if (step.spec.is(Trait.GANG)) {
+                placeGang(step, nowMs);
+                continue;
+            }
+            placeTasks(step, nowMs);
+        }
+    }
+
+    private void placeTasks(StepState step, long nowMs) {
+        Optional<String> rack = step.spec.is(Trait.SINGLE_RACK) ? rackOf(step) : Optional.empty();
+        for (TaskState task : step.tasks) {
+            if (task.phase != TaskState.Phase.WAITING || nowMs < task.notBeforeMs) {
+                continue;
+            }
+            Optional<RunnerState> runner = Placement.choose(task, fleet.all(), rack, nowMs);
+            if (runner.isEmpty() && rack.isPresent()) {
+                runner = Placement.choose(task, fleet.all(), Optional.empty(), nowMs);
+            }
+            if (runner.isEmpty()) {
+                return;
+            }
+            commitTo(task, runner.get(), nowMs);
+        }
+    }
+
+    private void commitTo(TaskState task, RunnerState runner, long nowMs) {
+        task.placeOn(runner, nowMs);
+        recorder.placed(task);
+        listener.placed(task.name, task.run, runner.id, nowMs - task.readySinceMs);
+    }
+
+    /** Returns the rack where tasks of a step run already, or the one with the most idle processors. */
+    private Optional<String> rackOf(StepState step) {
+        for (TaskState task : step.tasks) {
+            if (task.held() && task.runner.entry.isPresent()) {
+                return Optional.of(task.runner.entry.get().rack());
+            }
+        }
+        Map<String, Long> idle = new LinkedHashMap<>();
+        for (RunnerState runner : fleet.all()) {
+            Optional<RunnerEntry> entry = runner.entry;
+            if (entry.isPresent() && entry.get().service().equals(step.job.service)) {
+                idle.merge(entry.get().rack(), Math.max(0, runner.idleMillicores()), Long::sum);
+            }
+        }
+        String best = null;
+        for (Map.Entry<String, Long> rack : idle.entrySet()) {
+            if (best == null || rack.getValue() > idle.get(best)) {
+                best = rack.getKey();
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** Places all members of a gang or none; they share one run number. */
+    private void placeGang(StepState step, long nowMs) {
+        int run = 0;
+        for (TaskState task : step.tasks) {
+            if (task.phase != TaskState.Phase.WAITING || nowMs < task.notBeforeMs) {
+                return;
+            }
+            run = Math.max(run, task.run);
+        }
+        Optional<String> rack = step.spec.is(Trait.SINGLE_RACK) ? rackOf(step) : Optional.empty();
+        if (!placeMembers(step, rack, run, nowMs) && rack.isPresent()) {
+            placeMembers(step, Optional.empty(), run, nowMs);
+        }
+    }
+
+    private boolean placeMembers(StepState step, Optional<String> rack, int run, long nowMs) {
+        Collection<RunnerState> runners = fleet.all();
+        List<TaskState> placed = new ArrayList<>();
+        for (TaskState task : step.tasks) {
+            Optional<RunnerState> runner = Placement.choose(task, runners, rack, nowMs);
+            if (runner.isEmpty()) {
+                for (TaskState member : placed) {
+                    member.release();
+                    member.run = run;
+                }
+                return false;
+            }
+            task.run = run;
+            task.placeOn(runner.get(), nowMs);
+            placed.add(task);
+        }
+        for (TaskState member : placed) {
+            recorder.placed(member);
+            listener.placed(member.name, member.run, member.runner.id, nowMs - member.readySinceMs);
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollensill/dispatch/TaskState.java
@@ -0,0 +1,98 @@
+package org.pollensill.dispatch;
+
+import java.util.Optional;
+
+import org.pollensill.job.TaskName;
+import org.pollensill.job.TaskRecord;
+
+/** A task in the leader's memory. */
+final class TaskState {
+
+    /** Where a task is on its way. */
+    enum Phase {
+        /** No runner holds it. */
+        WAITING,
+        /** A runner is chosen; the record is not durable yet. */
+        PLACED,
+        /** The record is durable; the start may have been sent. */
+        ORDERED,
+        /** The runner has confirmed the run. */
+        RUNNING,
+        /** It has ended well. */
+        DONE
+    }
+
+    /** Pace of a task that works without restraint. */
+    static final int FULL_PACE = 100;
+
+    final StepState step;
+    final TaskName name;
+    Phase phase = Phase.WAITING;
+    int run;
+    int failures;
+    String checkpoint = "";
+    /** The runner that holds the task in phases PLACED to RUNNING. */
+    RunnerState runner;
+
+    boolean stopping;
+    long stopSentAtMs;
+    /** Number of the last hold that was sent before the run was confirmed; later reports must list the run. */
+    long confirmedAtHold;
+
+    int startAttempts;
+    long readySinceMs;
+    long notBeforeMs;
+    String avoidRunner = "";
+    long startedAtMs;
+    int percent;
+    long progressAtMs;
+    int pace = FULL_PACE;
+
+    TaskState(StepState step, int index) {
+        this.step = step;
+        this.name = new TaskName(step.job.request.id(), step.occurrence, step.number, index);
+    }
+
+    boolean held() {
+        return runner != null;
+    }
+
+    void placeOn(RunnerState chosen, long nowMs) {
+        run++;
+        phase = Phase.PLACED;
+        stopping = false;
+        startAttempts = 0;
+        percent = 0;
+        pace = FULL_PACE;
+        startedAtMs = nowMs;
+        progressAtMs = nowMs;
+        runner = chosen;
+        chosen.add(this);
+    }
+
+    /** Takes the task off its runner; it waits again unless it is done. */
+    void release() {
+        if (runner != null) {
+            runner.remove(this);
+            runner = null;
+        }
+        stopping = false;
+        if (phase != Phase.DONE) {
+            phase = Phase.WAITING;
+        }
+    }
+
+    TaskRecord record() {
+        Optional<TaskRecord.Place> place =
+                runner == null ? Optional.empty() : Optional.of(new TaskRecord.Place(runner.id, runner.bornMs));
+        return new TaskRecord(
+                step.occurrence,
+                step.number,
+                name.index(),
+                phase == Phase.DONE,
+                run,
+                failures,
+                phase == Phase.DONE ? "" : checkpoint,
+                place);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollensill/job/JobCodec.java
@@ -0,0 +1,226 @@
+package org.pollensill.job;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import org.pollensill.json.JsonObject;
+import org.pollensill.json.JsonSyntaxException;
+import org.pollensill.json.JsonText;
+import org.pollensill.worker.Resources;
+
+/** Stored form of jobs and of their progress. */
+public final class JobCodec {
+
+    private static final int RECORD_FIELDS = 9;
+
+    private JobCodec() {}
+
+    /**
+     * Returns the stored form of a job.
+     *
+     * @param job the job
+     * @return the text
+     */
+    public static String encode(JobRequest job) {
+        return JsonText.object(json -> {
+            json.writeStringField("id", job.id());
+            json.writeStringField("queue", job.queue());
+            json.writeStringField("service", job.service());
+            json.writeStringField("payload", job.payload());
+            json.writeNumberField("acceptedAtMs", job.acceptedAtMs());
+            if (job.timetable().timed()) {
+                json.writeNumberField("firstDueMs", job.timetable().firstDueMs());
+                json.writeNumberField("intervalMs", job.timetable().intervalMs());
+                json.writeNumberField("occurrences", job.timetable().occurrences());
+            }
+            json.writeArrayFieldStart("steps");
+            for (StepSpec step : job.steps()) {
+                writeStep(json, step);
+            }
+            json.writeEndArray();
+        });
+    }
+
+    private static void writeStep(JsonGenerator json, StepSpec step) throws IOException {
+        json.writeStartObject();
+        json.writeNumberField("count", step.count());
+        json.writeNumberField("processorsMillicores", step.need().processorsMillicores());
+        json.writeNumberField("memoryBytes", step.need().memoryBytes());
+        writeUnlessZero(json, "accelerators", step.need().accelerators());
+        writeUnlessZero(json, "estimateMs", step.estimateMs());
+        if (!step.after().isEmpty()) {
+            json.writeArrayFieldStart("after");
+            for (int before : step.after()) {
+                json.writeNumber(before);
+            }
+            json.writeEndArray();
+        }
+        if (!step.traits().isEmpty()) {
+            json.writeArrayFieldStart("traits");
+            for (Trait trait : step.traits()) {
+                json.writeString(trait.name());
+            }
+            json.writeEndArray();
+        }
+        if (step.placement().requiredLabel().isPresent()) {
+            json.writeStringField(
+                    "requiredLabel", step.placement().requiredLabel().get());
+        }
+        if (step.placement().dataRack().isPresent()) {
+            json.writeStringField("dataRack", step.placement().dataRack().get());
+        }
+        writeUnlessZero(json, "maxPerRunner", step.placement().maxPerRunner());
+        if (step.serving().image().isPresent()) {
+            json.writeStringField("image", step.serving().image().get());
+        }
+        writeUnlessZero(json, "targetTailMs", step.serving().targetTailMs());
+        writeUnlessZero(json, "mayMiss", step.serving().mayMiss());
+        json.writeEndObject();
+    }
+
+    private static void writeUnlessZero(JsonGenerator json, String name, long value) throws IOException {
+        if (value != 0) {
+            json.writeNumberField(name, value);
+        }
+    }
+
+    /**
+     * Reads a stored job.
+     *
+     * @param text the text
+     * @return the job
+     * @throws JsonSyntaxException if the text is no stored job
+     */
+    public static JobRequest decode(String text) throws JsonSyntaxException {
+        JsonObject job = JsonObject.parse(text);
+        List<StepSpec> steps = new ArrayList<>();
+        for (JsonObject step : job.objects("steps")) {
+            steps.add(readStep(step));
+        }
+        Timetable timetable =
+                new Timetable(whole(job, "firstDueMs"), whole(job, "intervalMs"), (int) whole(job, "occurrences"));
+        return new JobRequest(
+                required(job, "id"),
+                required(job, "queue"),
+                required(job, "service"),
+                required(job, "payload"),
+                steps,
+                timetable,
+                whole(job, "acceptedAtMs"));
+    }
+
+    private static StepSpec readStep(JsonObject step) throws JsonSyntaxException {
+        List<Integer> after = new ArrayList<>();
+        for (Object before : step.list("after")) {
+            if (before instanceof Long number) {
+                after.add(number.intValue());
+            }
+        }
+        Set<Trait> traits = EnumSet.noneOf(Trait.class);
+        for (String name : step.texts("traits")) {
+            try {
+                traits.add(Trait.valueOf(name));
+            } catch (IllegalArgumentException e) {
+                throw new JsonSyntaxException("unknown trait: " + name, e);
+            }
+        }
+        return new StepSpec(
+                (int) whole(step, "count"),
+                new Resources(
+                        whole(step, "processorsMillicores"), whole(step, "memoryBytes"), whole(step, "accelerators")),
+                whole(step, "estimateMs"),
+                after,
+                traits,
+                new PlacementRule(step.text("requiredLabel"), step.text("dataRack"), (int) whole(step, "maxPerRunner")),
+                new Serving(step.text("image"), whole(step, "targetTailMs"), (int) whole(step, "mayMiss")));
+    }
+
+    private static String required(JsonObject object, String name) throws JsonSyntaxException {
+        return object.text(name).orElseThrow(() -> new JsonSyntaxException("missing text: " + name));
+    }
+
+    private static long whole(JsonObject object, String name) {
+        return object.whole(name).orElse(0L);
+    }
+
+    /**
+     * Returns the stored form of a job's progress.
+     *
+     * @param job the progress
+     * @return the text
+     */
+    public static String encode(JobRecord job) {
+        return JsonText.object(json -> {
+            json.writeStringField("status", job.status().name());
+            json.writeArrayFieldStart("tasks");
+            for (TaskRecord task : job.tasks()) {
+                json.writeStartArray();
+                json.writeNumber(task.occurrence());
+                json.writeNumber(task.step());
+                json.writeNumber(task.index());
+                json.writeNumber(task.done() ? 1 : 0);
+                json.writeNumber(task.run());
+                json.writeNumber(task.failures());
+                json.writeString(task.checkpoint());
+                json.writeString(task.place().map(TaskRecord.Place::runnerId).orElse(""));
+                json.writeNumber(task.place().map(TaskRecord.Place::bornMs).orElse(0L));
+                json.writeEndArray();
+            }
+            json.writeEndArray();
+        });
+    }
+
+    /**
+     * Reads a stored progress.
+     *
+     * @param text the text
+     * @return the progress
+     * @throws JsonSyntaxException if the text is no stored progress
+     */
+    public static JobRecord decodeRecord(String text) throws JsonSyntaxException {
+        JsonObject record = JsonObject.parse(text);
+        JobStatus status;
+        try {
+            status = JobStatus.valueOf(required(record, "status"));
+        } catch (IllegalArgumentException e) {
+            throw new JsonSyntaxException("unknown status", e);
+        }
+        List<TaskRecord> tasks = new ArrayList<>();
+        for (Object item : record.list("tasks")) {
+            tasks.add(readTask(item));
+        }
+        return new JobRecord(status, tasks);
+    }
+
+    private static TaskRecord readTask(Object item) throws JsonSyntaxException {
+        if (!(item instanceof List<?> fields) || fields.size() != RECORD_FIELDS) {
+            throw new JsonSyntaxException("malformed task record");
+        }
+        if (!(fields.get(6) instanceof String checkpoint) || !(fields.get(7) instanceof String runner)) {
+            throw new JsonSyntaxException("malformed task record");
+        }
+        Optional<TaskRecord.Place> place =
+                runner.isEmpty() ? Optional.empty() : Optional.of(new TaskRecord.Place(runner, number(fields, 8)));
+        return new TaskRecord(
+                (int) number(fields, 0),
+                (int) number(fields, 1),
+                (int) number(fields, 2),
+                number(fields, 3) == 1,
+                (int) number(fields, 4),
+                (int) number(fields, 5),
+                checkpoint,
+                place);
+    }
+
+    private static long number(List<?> fields, int position) throws JsonSyntaxException {
+        if (fields.get(position) instanceof Long number) {
+            return number;
+        }
+        throw new JsonSyntaxException("malformed task record");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollensill/job/package-info.java
@@ -0,0 +1,2 @@
+/** Jobs of several steps, their tasks and their stored form. */
+package org.pollensill.job;
--- /dev/null
+++ b/core/src/main/java/org/pollensill/json/JsonText.java
@@ -0,0 +1,44 @@
+package org.pollensill.json;
+
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+
+/** Writes JSON text by the streaming generator. */
+public final class JsonText {
+
+    /** Writes the members of one object. */
+    @FunctionalInterface
+    public interface Members {
+
+        /**
+         * Writes the members.
+         *
+         * @param json the generator, inside an open object
+         * @throws IOException never for text in memory
+         */
+        void write(JsonGenerator json) throws IOException;
+    }
+
+    private JsonText() {}
+
+    /**
+     * Returns an object as text.
+     *
+     * @param members writes the members
+     * @return the text
+     */
+    public static String object(Members members) {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator json = JsonObject.FACTORY.createGenerator(text)) {
+            json.writeStartObject();
+            members.write(json);
+            json.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollensill/leader/LeaderRow.java
@@ -0,0 +1,87 @@
+package org.pollensill.leader;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Objects;
+
+import org.pollensill.json.JsonObject;
+import org.pollensill.json.JsonSyntaxException;
+import org.pollensill.json.JsonText;
+
+/**
+ * The row that names the leader. Every commit of the leader rewrites it with the next sequence number.
+ *
+ * @param leader name of the leading coordinator
+ * @param incarnation identity of its process
+ * @param peerAddress where its peers reach it
+ * @param fence the fencing token, rising with each takeover
+ * @param sequence number of the leader's last commit
+ * @param released whether the leader has given up its lease
+ * @param waitingJobs accepted jobs by queue for which no task has started
+ */
+public record LeaderRow(
+        String leader,
+        String incarnation,
+        String peerAddress,
+        long fence,
+        long sequence,
+        boolean released,
+        Map<String, Integer> waitingJobs) {
+
+    /**
+     * Creates a row.
+     *
+     * @throws NullPointerException if an argument is null
+     */
+    public LeaderRow {
+        Objects.requireNonNull(leader, "leader is null");
+        Objects.requireNonNull(incarnation, "incarnation is null");
+        Objects.requireNonNull(peerAddress, "peerAddress is null");
+        waitingJobs = Map.copyOf(Objects.requireNonNull(waitingJobs, "waitingJobs is null"));
+    }
+
+    /**
+     * Returns the row's stored form.
+     *
+     * @return the text
+     */
+    public String encode() {
+        return JsonText.object(json -> {
+            json.writeStringField("leader", leader);
+            json.writeStringField("incarnation", incarnation);
+            json.writeStringField("peerAddress", peerAddress);
+            json.writeNumberField("fence", fence);
+            json.writeNumberField("sequence", sequence);
+            json.writeBooleanField("released", released);
+            json.writeObjectFieldStart("waitingJobs");
+            for (Map.Entry<String, Integer> queue : waitingJobs.entrySet()) {
+                json.writeNumberField(queue.getKey(), queue.getValue());
+            }
+            json.writeEndObject();
+        });
+    }
+
+    /**
+     * Reads a stored row.
+     *
+     * @param text the text
+     * @return the row
+     * @throws JsonSyntaxException if the text is no leader row
+     */
+    public static LeaderRow decode(String text) throws JsonSyntaxException {
+        JsonObject row = JsonObject.parse(text);
+        Map<String, Integer> waiting = new LinkedHashMap<>();
+        JsonObject queues = row.object("waitingJobs").orElse(new JsonObject(Map.of()));
+        for (String queue : queues.members().keySet()) {
+            waiting.put(queue, queues.whole(queue).orElse(0L).intValue());
+        }
+        return new LeaderRow(
+                row.text("leader").orElseThrow(() -> new JsonSyntaxException("missing text: leader")),
+                row.text("incarnation").orElse(""),
+                row.text("peerAddress").orElse(""),
+                row.whole("fence").orElseThrow(() -> new JsonSyntaxException("missing number: fence")),
+                row.whole("sequence").orElse(0L),
+                row.isTrue("released"),
+                waiting);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/pollensill/leader/package-info.java
@@ -0,0 +1,2 @@
+/** The leader lease, one row of the table service, and the fenced commits of its holder. */
+package org.pollensill.leader;
--- /dev/null
+++ b/core/src/main/java/org/pollensill/queue/package-info.java
@@ -0,0 +1,2 @@
+/** Queues that clients hand jobs to, as the operator configures them. */
+package org.pollensill.queue;
--- /dev/null
+++ b/core/src/main/java/org/pollensill/runner/HoldAnswer.java
@@ -0,0 +1,23 @@
+package org.pollensill.runner;
+
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * Answer to a hold.
+ *
+ * @param outcome what is known about the order
+ * @param report the report, where the order was accepted
+ */
+public record HoldAnswer(OrderOutcome outcome, Optional<RunnerReport> report) {
+
+    /**
+     * Creates an answer.
+     *
+     * @throws NullPointerException if an argument is null
+     */
+    public HoldAnswer {
+        Objects.requireNonNull(outcome, "outcome is null");
+        Objects.requireNonNull(report, "report is null");
+    }
+}
--- a/runtime/src/main/java/org/pollensill/runtime/event/LogSetup.java
+++ b/runtime/src/main/java/org/pollensill/runtime/event/LogSetup.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 
+import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
@@ -17,6 +18,9 @@
 
     private static final String TEXT_PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5level %msg %kvp%n";
 
+    /** Lines that wait for the output; about a second of a busy leader. */
+    private static final int QUEUED_LINES = 2_048;
+
     private LogSetup() {}
 
     /**
@@ -40,6 +44,42 @@
         context.getLogger("io.netty").setLevel(Level.WARN);
     }
 
+    /**
+     * Sends all log lines as JSON to standard output through a bounded queue. A full queue drops lines; the caller never
+     * waits.
+     *
+     * @param level the lowest level to print
+     */
+    public static void configureBounded(String level) {
+        LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+        context.reset();
+        ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
+        console.setContext(context);
+        console.setEncoder(jsonEncoder(context));
+        console.start();
+        AsyncAppender queue = new AsyncAppender();
+        queue.setContext(context);
+        queue.setQueueSize(QUEUED_LINES);
+        queue.setDiscardingThreshold(0);
+        queue.setNeverBlock(true);
+        queue.addAppender(console);
+        queue.start();
+        Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+        root.setLevel(Level.toLevel(Objects.requireNonNull(level, "level is null"), Level.INFO));
+        root.addAppender(queue);
+        context.getLogger("io.netty").setLevel(Level.WARN);
+    }
+
+    /**
+     * Changes the lowest level to print.
+     *
+     * @param level the level
+     */
+    public static void setLevel(String level) {
+        LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+        context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME).setLevel(Level.toLevel(level, Level.INFO));
+    }
+
     private static Encoder<ILoggingEvent> jsonEncoder(LoggerContext context) {
         JsonEncoder encoder = new JsonEncoder();
         encoder.setWithContext(false);
--- a/runtime/src/main/java/org/pollensill/runtime/http/ClientExchangeHandler.java
+++ b/runtime/src/main/java/org/pollensill/runtime/http/ClientExchangeHandler.java
@@ -65,7 +65,10 @@
         });
         timeout = context.executor()
                 .schedule(
-                        () -> failAndClose(HttpException.Reason.TIMED_OUT, "no whole answer in time"),
+                        () -> {
+                            pool.closeIdle();
+                            failAndClose(HttpException.Reason.TIMED_OUT, "no whole answer in time");
+                        },
                         remainingMs,
                         TimeUnit.MILLISECONDS);
         channel.writeAndFlush(Messages.request(exchange.request(), exchange.address()))
--- a/runtime/src/main/java/org/pollensill/runtime/http/ConnectionPool.java
+++ b/runtime/src/main/java/org/pollensill/runtime/http/ConnectionPool.java
@@ -115,6 +115,16 @@
         }
     }
 
+    /** Closes the idle connections, which may have fallen silent together with one that timed out. */
+    void closeIdle() {
+        Deque<Channel> toClose;
+        synchronized (this) {
+            toClose = new ArrayDeque<>(idle);
+            idle.clear();
+        }
+        toClose.forEach(Channel::close);
+    }
+
     void close() {
         Deque<Channel> toClose;
         synchronized (this) {
