--- a/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorMain.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorMain.java
@@ -36,6 +36,7 @@
         if (file.isEmpty()) {
             return;
         }
+        LogSetup.configureBounded("info");
         CoordinatorSettings settings;
         try {
             settings = CoordinatorSettings.read(file.get());
@@ -48,7 +49,7 @@
             System.out.println("settings are valid: " + file.get());
             return;
         }
-        LogSetup.configureBounded(settings.logLevel());
+        LogSetup.setLevel(settings.logLevel());
         Coordinator coordinator;
         try {
             coordinator = Coordinator.start(settings);
--- a/core/src/main/java/org/pollensill/dispatch/Placement.java
+++ b/core/src/main/java/org/pollensill/dispatch/Placement.java
@@ -7,27 +7,34 @@
 import org.pollensill.job.StepSpec;
 import org.pollensill.job.Trait;
 import org.pollensill.runner.RunnerEntry;
+import org.pollensill.worker.Interference;
 import org.pollensill.worker.Resources;
 
 /**
- * Chooses a runner for a task. Tasks that serve are packed together, tasks that fill go where nobody serves, others
- * spread over idle processors and prefer runners where tasks that fill are not welcome.
+ * Chooses a runner for a task. Tasks that serve are packed together, tasks that fill go where they are expected to
+ * disturb least, others spread over idle processors beside tasks that serve.
  */
 final class Placement {
 
     /** A task that fills starts only where this part of what it needs is idle. */
     private static final double LEAST_IDLE_PART = 0.6;
 
-    /** Outweighs differences of load: a task that fills disturbs tasks that serve. */
-    private static final double SERVING_PENALTY = 10;
+    /** A tail that is expected to stay below this part of its bound is no reason against a runner. */
+    private static final double HARMLESS = 0.5;
+
+    private static final double DISTURBANCE_WEIGHT = 2;
 
     private static final double RACK_BONUS = 2;
     private static final double AVOID_PENALTY = 5;
     private static final double FAILURE_PENALTY = 1;
 
-    private Placement() {}
+    private final Interference interference;
+
+    Placement(Interference interference) {
+        this.interference = interference;
+    }
 
-    static Optional<RunnerState> choose(
+    Optional<RunnerState> choose(
             TaskState task, Collection<RunnerState> runners, Optional<String> onlyRack, long nowMs) {
         RunnerState best = null;
         double bestScore = 0;
@@ -48,7 +55,7 @@
         return Optional.ofNullable(best);
     }
 
-    private static boolean allowed(TaskState task, RunnerState runner) {
+    private boolean allowed(TaskState task, RunnerState runner) {
         StepSpec spec = task.step.spec;
         RunnerEntry entry = runner.entry.get();
         if (!entry.service().equals(task.step.job.service)) {
@@ -74,19 +81,20 @@
         return rule.maxPerRunner() == 0 || task.step.heldBy(runner) < rule.maxPerRunner();
     }
 
-    private static double score(TaskState task, RunnerState runner, RunnerEntry entry) {
+    private double score(TaskState task, RunnerState runner, RunnerEntry entry) {
         StepSpec spec = task.step.spec;
         double capacity = Math.max(1, entry.capacity().processorsMillicores());
         double idle = runner.idleMillicores() / capacity;
         double score = -FAILURE_PENALTY * runner.failures;
         if (spec.is(Trait.FILLS)) {
-            score += idle - (runner.serving > 0 ? SERVING_PENALTY : 0);
+            double expected = Sharing.expected(interference, task, runner);
+            score += idle - DISTURBANCE_WEIGHT * Math.max(0, expected - HARMLESS);
         } else if (spec.serving().targetTailMs() > 0) {
             double used = runner.counted.processorsMillicores() / capacity;
-            boolean filling = runner.fillingMillicores > 0;
-            score += used + (runner.serving > 0 ? 1 : 0) - (filling ? SERVING_PENALTY : 0);
+            double filling = runner.fillingMillicores / capacity;
+            score += used + (runner.serving() > 0 ? 1 : 0) - filling;
         } else {
-            score += idle + (runner.serving > 0 ? 1 : 0);
+            score += idle + (runner.serving() > 0 ? 1 : 0);
         }
         if (spec.placement().dataRack().isPresent()
                 && spec.placement().dataRack().get().equals(entry.rack())) {
--- a/core/src/main/java/org/pollensill/dispatch/RunnerState.java
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerState.java
@@ -15,6 +15,9 @@
 /** One life of a runner in the leader's memory, with the tasks that it holds or may hold. */
 final class RunnerState {
 
+    /** Part of its processors that a task that serves is expected to use; it is sized for its own peaks. */
+    private static final double SERVING_USE = 0.5;
+
     final String id;
     long bornMs;
     /** The runner's own description, empty where it is only known from records. */
@@ -24,7 +27,10 @@
     final Map<TaskName, TaskState> tasks = new LinkedHashMap<>();
     Resources counted = Resources.NONE;
     long fillingMillicores;
-    int serving;
+    long servingMillicores;
+    /** Number of tasks that serve, by image. */
+    final Map<String, Integer> servingImages = new LinkedHashMap<>();
+
 
     /** Whether the runner has answered to this leader's fencing token. */
     boolean fenced;
@@ -49,10 +55,6 @@
     String lastFailedJob = "";
     long setAsideUntilMs;
     long noRoomUntilMs;
-    /** Share at which tasks that fill work beside tasks that serve. */
-    int fillPace = TaskState.FULL_PACE;
-
-    long fillPaceChangedAtMs;
 
     RunnerState(String id, long bornMs) {
         this.id = Objects.requireNonNull(id, "id is null");
@@ -80,10 +82,16 @@
             fillingMillicores += sign * task.step.spec.need().processorsMillicores();
         }
         if (task.step.spec.serving().targetTailMs() > 0) {
-            serving += sign;
+            servingImages.merge(task.step.spec.serving().image().orElse(""), sign, Integer::sum);
+            servingImages.values().removeIf(count -> count <= 0);
+            servingMillicores += sign * need.processorsMillicores();
         }
     }
 
+    int serving() {
+        return servingImages.size();
+    }
+
     Resources capacity() {
         return entry.map(RunnerEntry::capacity).orElse(Resources.NONE);
     }
@@ -107,7 +115,10 @@
 
     /** Returns the processors that neither counted tasks nor tasks that fill are expected to use. */
     long idleMillicores() {
-        return capacity().processorsMillicores() - counted.processorsMillicores() - fillingMillicores;
+        return capacity().processorsMillicores()
+                - counted.processorsMillicores()
+                + (long) (servingMillicores * (1 - SERVING_USE))
+                - fillingMillicores;
     }
 
     /** Returns the local time at which nothing that was ordered can run any more, unless a hold extends the lease. */
@@ -137,6 +148,5 @@
         noRoomUntilMs = 0;
         nextHoldAtMs = 0;
         silentHolds = 0;
-        fillPace = TaskState.FULL_PACE;
     }
 }
--- a/core/src/main/java/org/pollensill/dispatch/Scheduling.java
+++ b/core/src/main/java/org/pollensill/dispatch/Scheduling.java
@@ -16,12 +16,14 @@
     private final JobTable jobs;
     private final Fleet fleet;
     private final Recorder recorder;
+    private final Placement placement;
     private final DispatchListener listener;
 
-    Scheduling(JobTable jobs, Fleet fleet, Recorder recorder, DispatchListener listener) {
+    Scheduling(JobTable jobs, Fleet fleet, Recorder recorder, Placement placement, DispatchListener listener) {
         this.jobs = jobs;
         this.fleet = fleet;
         this.recorder = recorder;
+        this.placement = placement;
         this.listener = listener;
     }
 
@@ -41,9 +43,9 @@
             if (task.phase != TaskState.Phase.WAITING || nowMs < task.notBeforeMs) {
                 continue;
             }
-            Optional<RunnerState> runner = Placement.choose(task, fleet.all(), rack, nowMs);
+            Optional<RunnerState> runner = placement.choose(task, fleet.all(), rack, nowMs);
             if (runner.isEmpty() && rack.isPresent()) {
-                runner = Placement.choose(task, fleet.all(), Optional.empty(), nowMs);
+                runner = placement.choose(task, fleet.all(), Optional.empty(), nowMs);
             }
             if (runner.isEmpty()) {
                 return;
@@ -100,7 +102,7 @@
         Collection<RunnerState> runners = fleet.all();
         List<TaskState> placed = new ArrayList<>();
         for (TaskState task : step.tasks) {
-            Optional<RunnerState> runner = Placement.choose(task, runners, rack, nowMs);
+            Optional<RunnerState> runner = placement.choose(task, runners, rack, nowMs);
             if (runner.isEmpty()) {
                 for (TaskState member : placed) {
                     member.release();
--- a/core/src/main/java/org/pollensill/dispatch/TaskState.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskState.java
@@ -47,6 +47,7 @@
     int percent;
     long progressAtMs;
     int pace = FULL_PACE;
+    long paceChangedAtMs;
 
     TaskState(StepState step, int index) {
         this.step = step;
@@ -64,6 +65,7 @@
         startAttempts = 0;
         percent = 0;
         pace = FULL_PACE;
+        paceChangedAtMs = nowMs;
         startedAtMs = nowMs;
         progressAtMs = nowMs;
         runner = chosen;
--- a/core/src/main/java/org/pollensill/dispatch/Upkeep.java
+++ b/core/src/main/java/org/pollensill/dispatch/Upkeep.java
@@ -37,7 +37,7 @@
 
     void tick(long nowMs, boolean mayExtend) {
         for (RunnerState runner : new ArrayList<>(fleet.all())) {
-            if (!runner.tasks.isEmpty() && nowMs > runner.lapsedAtMs()) {
+            if (holdsOrdered(runner) && nowMs > runner.lapsedAtMs()) {
                 lapse(runner, nowMs);
             }
             for (TaskState task : new ArrayList<>(runner.tasks.values())) {
@@ -49,8 +49,21 @@
         }
     }
 
+    /** Returns whether a start may have been sent to the runner for a task that it still holds. */
+    private static boolean holdsOrdered(RunnerState runner) {
+        for (TaskState task : runner.tasks.values()) {
+            if (task.phase != TaskState.Phase.PLACED) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void lapse(RunnerState runner, long nowMs) {
         for (TaskState task : new ArrayList<>(runner.tasks.values())) {
+            if (task.phase == TaskState.Phase.PLACED) {
+                continue;
+            }
             if (task.step.job.status.isFinal()) {
                 task.release();
                 continue;
@@ -136,7 +149,7 @@
                 && runner.silentHolds == 0
                 && !runner.tasks.isEmpty()
                 && runner.seenEnd == runner.durableEnd;
-        boolean shared = runner.serving > 0 && runner.fillingMillicores > 0;
+        boolean shared = runner.serving() > 0 && runner.fillingMillicores > 0;
         long waitMs = shared ? DispatchTiming.SHARED_REPORT_WAIT_MS : DispatchTiming.REPORT_WAIT_MS;
         runner.holdSequence++;
         runner.holdInFlight = true;
--- a/runtime/src/main/java/org/pollensill/runtime/event/LogSetup.java
+++ b/runtime/src/main/java/org/pollensill/runtime/event/LogSetup.java
@@ -55,7 +55,11 @@
         context.reset();
         ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
         console.setContext(context);
-        console.setEncoder(jsonEncoder(context));
+        JsonEncoder encoder = jsonEncoder(context);
+        encoder.setWithThreadName(false);
+        encoder.setWithLoggerName(false);
+        encoder.setWithThrowable(false);
+        console.setEncoder(encoder);
         console.start();
         AsyncAppender queue = new AsyncAppender();
         queue.setContext(context);
@@ -80,7 +84,7 @@
         context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME).setLevel(Level.toLevel(level, Level.INFO));
     }
 
-    private static Encoder<ILoggingEvent> jsonEncoder(LoggerContext context) {
+    private static JsonEncoder jsonEncoder(LoggerContext context) {
         JsonEncoder encoder = new JsonEncoder();
         encoder.setWithContext(false);
         encoder.setWithSequenceNumber(false);
