Estimate the disturbance by regression over the filling images of a runner

Cause: the ratio per pair blamed every image on a runner. Change: least squares with faded measurements; placements that would bring a tail near its bound wait; serving tasks of one image are gathered; a task that resumes is not taken for stalled.

--- a/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
@@ -19,7 +19,6 @@
 import org.pollensill.runner.RunnerClock;
 import org.pollensill.runner.RunnerEntry;
 import org.pollensill.runner.StartOrder;
-import org.pollensill.worker.Interference;
 
 /**
  * The leader's decisions. A placement is recorded before its start is sent, an end is acknowledged after it is
@@ -52,9 +51,9 @@
         this.jobs = new JobTable(recorder, listener);
         this.health = new RunnerHealth(listener);
         this.reports = new Reports(jobs, recorder, health, listener, orders);
-        Interference interference = Interference.empty();
-        this.sharing = new Sharing(orders, reports, interference);
-        this.scheduling = new Scheduling(jobs, fleet, recorder, new Placement(interference), listener);
+        Disturbance disturbance = new Disturbance();
+        this.sharing = new Sharing(orders, reports, disturbance);
+        this.scheduling = new Scheduling(jobs, fleet, recorder, new Placement(disturbance), listener);
         this.upkeep = new Upkeep(jobs, fleet, reports, health, orders, fence);
     }
 
--- a/core/src/main/java/org/pollensill/dispatch/Placement.java
+++ b/core/src/main/java/org/pollensill/dispatch/Placement.java
@@ -1,13 +1,13 @@
 package org.pollensill.dispatch;
 
 import java.util.Collection;
+import java.util.Map;
 import java.util.Optional;
 
 import org.pollensill.job.PlacementRule;
 import org.pollensill.job.StepSpec;
 import org.pollensill.job.Trait;
 import org.pollensill.runner.RunnerEntry;
-import org.pollensill.worker.Interference;
 import org.pollensill.worker.Resources;
 
 /**
@@ -19,19 +19,26 @@
     /** A task that fills starts only where this part of what it needs is idle. */
     private static final double LEAST_IDLE_PART = 0.6;
 
-    /** A tail that is expected to stay below this part of its bound is no reason against a runner. */
-    private static final double HARMLESS = 0.5;
+    /** How much a raised tail outweighs idle processors. */
+    private static final double DISTURBANCE_WEIGHT = 3;
 
-    private static final double DISTURBANCE_WEIGHT = 2;
+    /** How much it counts that tasks that serve together are disturbed by the same images. */
+    private static final double LIKENESS_WEIGHT = 2;
+
+    /** An empty runner is better than one that serves something unlike. */
+    private static final double EMPTY_LIKENESS = 0.5;
+
+    /** A raise that does not count against a task that fills. */
+    private static final double NEGLIGIBLE_RAISE = 0.02;
 
     private static final double RACK_BONUS = 2;
     private static final double AVOID_PENALTY = 5;
     private static final double FAILURE_PENALTY = 1;
 
-    private final Interference interference;
+    private final Disturbance disturbance;
 
-    Placement(Interference interference) {
-        this.interference = interference;
+    Placement(Disturbance disturbance) {
+        this.disturbance = disturbance;
     }
 
     Optional<RunnerState> choose(
@@ -70,7 +77,8 @@
             return false;
         }
         if (spec.is(Trait.FILLS)
-                && runner.idleMillicores() < LEAST_IDLE_PART * spec.need().processorsMillicores()) {
+                && (runner.idleMillicores() < LEAST_IDLE_PART * spec.need().processorsMillicores()
+                        || disturbs(task, runner))) {
             return false;
         }
         PlacementRule rule = spec.placement();
@@ -81,18 +89,52 @@
         return rule.maxPerRunner() == 0 || task.step.heldBy(runner) < rule.maxPerRunner();
     }
 
+    /** Returns whether a task that fills would bring a tail near its bound, with those that fill there already. */
+    private boolean disturbs(TaskState task, RunnerState runner) {
+        for (String serving : runner.servingImages.keySet()) {
+            double raise = disturbance.raise(serving, task.image(), task.share(runner));
+            if (raise < NEGLIGIBLE_RAISE) {
+                continue;
+            }
+            double capacity = Math.max(1, runner.capacity().processorsMillicores());
+            for (Map.Entry<String, Long> filling : runner.fillingImages.entrySet()) {
+                raise += disturbance.raise(serving, filling.getKey(), filling.getValue() / capacity);
+            }
+            if (raise > disturbance.allowed(serving)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private double raise(TaskState task, RunnerState runner) {
+        double worst = 0;
+        for (String serving : runner.servingImages.keySet()) {
+            worst = Math.max(worst, disturbance.raise(serving, task.image(), task.share(runner)));
+        }
+        return worst;
+    }
+
+    /** Returns how alike a serving task and those on a runner are, judged by the least alike one. */
+    private double likeness(TaskState task, RunnerState runner) {
+        double least = runner.serving() > 0 ? 1 : EMPTY_LIKENESS;
+        for (String serving : runner.servingImages.keySet()) {
+            least = Math.min(least, disturbance.likeness(serving, task.image()));
+        }
+        return least;
+    }
+
     private double score(TaskState task, RunnerState runner, RunnerEntry entry) {
         StepSpec spec = task.step.spec;
         double capacity = Math.max(1, entry.capacity().processorsMillicores());
         double idle = runner.idleMillicores() / capacity;
         double score = -FAILURE_PENALTY * runner.failures;
         if (spec.is(Trait.FILLS)) {
-            double expected = Sharing.expected(interference, task, runner);
-            score += idle - DISTURBANCE_WEIGHT * Math.max(0, expected - HARMLESS);
+            score += idle - DISTURBANCE_WEIGHT * raise(task, runner);
         } else if (spec.serving().targetTailMs() > 0) {
             double used = runner.counted.processorsMillicores() / capacity;
             double filling = runner.fillingMillicores / capacity;
-            score += used + (runner.serving() > 0 ? 1 : 0) - filling;
+            score += used + LIKENESS_WEIGHT * likeness(task, runner) - filling;
         } else {
             score += idle + (runner.serving() > 0 ? 1 : 0);
         }
--- a/core/src/main/java/org/pollensill/dispatch/RunnerState.java
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerState.java
@@ -28,6 +28,12 @@
     Resources counted = Resources.NONE;
     long fillingMillicores;
     long servingMillicores;
+    /** Recent share of the processors by image of tasks that fill. */
+    final Map<String, Double> recentShares = new LinkedHashMap<>();
+
+    long sharesAtMs;
+    /** Processors of tasks that fill, by image. */
+    final Map<String, Long> fillingImages = new LinkedHashMap<>();
     /** Number of tasks that serve, by image. */
     final Map<String, Integer> servingImages = new LinkedHashMap<>();
 
@@ -79,10 +85,13 @@
         Resources need = task.step.spec.counted();
         counted = sign > 0 ? counted.plus(need) : counted.minus(need);
         if (task.step.spec.is(Trait.FILLS)) {
-            fillingMillicores += sign * task.step.spec.need().processorsMillicores();
+            long millicores = sign * task.step.spec.need().processorsMillicores();
+            fillingMillicores += millicores;
+            fillingImages.merge(task.image(), millicores, Long::sum);
+            fillingImages.values().removeIf(left -> left <= 0);
         }
         if (task.step.spec.serving().targetTailMs() > 0) {
-            servingImages.merge(task.step.spec.serving().image().orElse(""), sign, Integer::sum);
+            servingImages.merge(task.image(), sign, Integer::sum);
             servingImages.values().removeIf(count -> count <= 0);
             servingMillicores += sign * need.processorsMillicores();
         }
--- a/core/src/main/java/org/pollensill/dispatch/Sharing.java
+++ b/core/src/main/java/org/pollensill/dispatch/Sharing.java
@@ -2,78 +2,57 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.pollensill.job.Trait;
 import org.pollensill.runner.RunnerReport;
-import org.pollensill.worker.Interference;
-import org.pollensill.worker.LoadBand;
 
 /**
- * Restrains tasks that fill where they disturb tasks that serve. Learns per pair of images how near the tail comes to
- * its bound, slows the likeliest disturbers first, lets them work again by steps, and moves those that had to pause.
+ * Restrains tasks that fill where they disturb tasks that serve. Learns from the reported tails which image disturbs
+ * which, pauses the likeliest disturbers first, lets them work again by steps, and moves those that had to pause.
  */
 final class Sharing {
 
-    /** Part of its bound at which a tail counts as disturbed; reports lag by half a second. */
-    private static final double DISTURBED = 0.85;
-
-    /** Part of its bound beyond which disturbers pause at once. */
-    private static final double BADLY_DISTURBED = 1.1;
+    /** Part of its bound at which a tail counts as disturbed. */
+    private static final double DISTURBED = 1.0;
 
     /** Part of its bound below which a tail leaves room for more. */
-    private static final double EASY = 0.65;
+    private static final double EASY = 0.6;
+
+    /** Disturbers of at least this part of the largest contribution pause together. */
+    private static final double SUSPECTED = 0.3;
 
-    /** Pairs whose estimate is within this part of the worst one's are slowed together. */
-    private static final double SUSPECTED = 0.8;
+    /** Raise of a tail that is too small to tell who caused it. */
+    private static final double UNEXPLAINED = 0.05;
 
-    private static final int SLOWER = 50;
-    private static final int FASTER = 25;
+    private static final int FASTER = 50;
 
     /** Least time between two changes of a task's pace; a change shows after half a second. */
     private static final long CHANGE_EVERY_MS = 700;
 
     /** A task that has paused this long is moved. */
-    private static final long MOVE_AFTER_MS = 1_500;
+    private static final long MOVE_AFTER_MS = 1_000;
 
-    /** One band: the reported tail already holds the load of the moment. */
-    private static final LoadBand BAND = LoadBand.MEDIUM;
+    /** Time over which reported tails are measured. */
+    private static final double TAIL_WINDOW_MS = 500;
 
     private final Orders orders;
     private final Reports reports;
-    private final Interference interference;
+    private final Disturbance disturbance;
 
-    Sharing(Orders orders, Reports reports, Interference interference) {
+    Sharing(Orders orders, Reports reports, Disturbance disturbance) {
         this.orders = orders;
         this.reports = reports;
-        this.interference = interference;
-    }
-
-    /**
-     * Returns how near a tail is expected to come to its bound beside a task that fills.
-     *
-     * @param interference the estimates
-     * @param filling the task that fills
-     * @param runner the runner
-     * @return the largest part of a bound, 0 where nothing serves
-     */
-    static double expected(Interference interference, TaskState filling, RunnerState runner) {
-        double worst = 0;
-        for (String image : runner.servingImages.keySet()) {
-            worst = Math.max(worst, interference.ratio(image, image(filling), BAND));
-        }
-        return worst;
-    }
-
-    private static String image(TaskState task) {
-        return task.step.spec.serving().image().orElse("");
+        this.disturbance = disturbance;
     }
 
     void apply(RunnerState runner, RunnerReport report, long nowMs) {
-        if (runner.serving() == 0 || runner.fillingMillicores == 0) {
+        List<TaskState> filling = filling(runner);
+        Map<String, Double> shares = recentShares(runner, filling, nowMs);
+        if (runner.serving() == 0) {
             return;
         }
-        List<TaskState> filling = filling(runner);
         double worst = 0;
         Optional<TaskState> victim = Optional.empty();
         for (RunnerReport.RunningTask row : report.running()) {
@@ -82,14 +61,14 @@
                 continue;
             }
             double part = (double) row.figure() / task.step.spec.serving().targetTailMs();
-            learn(task, filling, part, nowMs);
+            disturbance.observe(task.image(), shares, part);
             if (part > worst) {
                 worst = part;
                 victim = Optional.of(task);
             }
         }
         if (worst >= DISTURBED) {
-            slow(runner, filling, victim.get(), worst, nowMs);
+            pause(runner, filling, victim.get(), nowMs);
         } else if (worst < EASY) {
             release(runner, filling, nowMs);
         }
@@ -106,30 +85,39 @@
         return filling;
     }
 
-    private void learn(TaskState serving, List<TaskState> filling, double part, long nowMs) {
+    /** Moves the smoothed shares of a runner towards what works there now. */
+    private static Map<String, Double> recentShares(RunnerState runner, List<TaskState> filling, long nowMs) {
+        double weight = 1 - Math.exp(-(nowMs - runner.sharesAtMs) / TAIL_WINDOW_MS);
+        runner.sharesAtMs = nowMs;
+        runner.recentShares.replaceAll((image, share) -> share * (1 - weight));
         for (TaskState task : filling) {
-            boolean steady = task.pace == TaskState.FULL_PACE && nowMs - task.paceChangedAtMs >= CHANGE_EVERY_MS;
-            if (steady) {
-                interference.observe(image(serving), image(task), BAND, part);
-            }
+            double share = task.share(runner) * task.pace / TaskState.FULL_PACE;
+            runner.recentShares.merge(task.image(), weight * share, Double::sum);
         }
+        runner.recentShares.values().removeIf(share -> share < 0.001);
+        return runner.recentShares;
     }
 
-    private void slow(RunnerState runner, List<TaskState> filling, TaskState victim, double worst, long nowMs) {
-        double highest = 0;
+    private void pause(RunnerState runner, List<TaskState> filling, TaskState victim, long nowMs) {
+        double largest = 0;
         for (TaskState task : filling) {
             if (task.pace > 0) {
-                highest = Math.max(highest, interference.ratio(image(victim), image(task), BAND));
+                largest = Math.max(largest, contribution(runner, task, victim));
             }
         }
         for (TaskState task : filling) {
-            boolean suspected = interference.ratio(image(victim), image(task), BAND) >= SUSPECTED * highest;
-            if (task.pace > 0 && suspected && nowMs - task.paceChangedAtMs >= CHANGE_EVERY_MS) {
-                setPace(runner, task, worst >= BADLY_DISTURBED ? 0 : Math.max(0, task.pace - SLOWER), nowMs);
+            boolean suspected =
+                    largest < UNEXPLAINED || contribution(runner, task, victim) >= SUSPECTED * largest;
+            if (task.pace > 0 && suspected) {
+                setPace(runner, task, 0, nowMs);
             }
         }
     }
 
+    private double contribution(RunnerState runner, TaskState filling, TaskState victim) {
+        return disturbance.raise(victim.image(), filling.image(), filling.share(runner));
+    }
+
     private void release(RunnerState runner, List<TaskState> filling, long nowMs) {
         for (TaskState task : filling) {
             if (task.pace < TaskState.FULL_PACE && nowMs - task.paceChangedAtMs >= CHANGE_EVERY_MS) {
@@ -139,6 +127,9 @@
     }
 
     private void setPace(RunnerState runner, TaskState task, int percent, long nowMs) {
+        if (task.pace == 0) {
+            task.progressAtMs = nowMs;
+        }
         task.pace = percent;
         task.paceChangedAtMs = nowMs;
         runner.address().ifPresent(to -> orders.pace(to, task.name, task.run, percent));
--- a/core/src/main/java/org/pollensill/dispatch/TaskState.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskState.java
@@ -54,6 +54,16 @@
         this.name = new TaskName(step.job.request.id(), step.occurrence, step.number, index);
     }
 
+    String image() {
+        return step.spec.serving().image().orElse("");
+    }
+
+    /** Returns the task's share of a runner's processors. */
+    double share(RunnerState on) {
+        return (double) step.spec.need().processorsMillicores()
+                / Math.max(1, on.capacity().processorsMillicores());
+    }
+
     boolean held() {
         return runner != null;
     }
