--- a/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
@@ -2,13 +2,20 @@
 
 import java.util.Optional;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
 
 import io.netty.channel.EventLoopGroup;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.pollensill.adapter.ClientCodec;
 import org.pollensill.adapter.HttpRowStore;
 import org.pollensill.adapter.HttpRunnerService;
+import org.pollensill.coordinator.peer.PeerServer;
+import org.pollensill.coordinator.peer.PeerService;
+import org.pollensill.coordinator.peer.wire.StoreCall;
+import org.pollensill.coordinator.peer.wire.StoreReply;
+import org.pollensill.job.JobStatus;
 import org.pollensill.platform.RowStore;
+import org.pollensill.queue.QueueCatalogue;
 import org.pollensill.runner.RunnerService;
 import org.pollensill.runtime.event.EventLog;
 import org.pollensill.runtime.event.RuntimeEvent;
@@ -47,6 +54,11 @@
     private final ConfigFollower config;
     private final Leadership leadership;
     private final JobEndpoint endpoint;
+    private final Peers peers;
+    private final StorePath path;
+    private final Members members;
+    private final String incarnation;
+    private Optional<PeerServer> peerServer = Optional.empty();
     private Optional<HttpServer> clients = Optional.empty();
     private Optional<HttpServer> readiness = Optional.empty();
     private boolean stopping;
@@ -57,24 +69,52 @@
         this.loop = new Loop(group.next());
         this.client = HttpClient.of(group, CLIENT);
         this.health = new StoreHealth(loop);
-        RowStore store = HttpRowStore.of(client::send, settings.storeAddress(), STORE_TIMEOUT_MS);
+        this.incarnation = settings.name() + "-" + UUID.randomUUID();
+        this.peers = new Peers(group, settings, this::onLeaderGone);
+        this.path = new StorePath(loop, client::send, settings.storeAddress(), peers, HttpRowStore.PROBE_URI);
+        RowStore store = HttpRowStore.of(path, settings.storeAddress(), STORE_TIMEOUT_MS);
         RunnerService runners = HttpRunnerService.of(client::send, ORDER_TIMEOUT_MS);
-        String incarnation = settings.name() + "-" + UUID.randomUUID();
         CoordinatorMetrics metrics = new CoordinatorMetrics(PrometheusRegistry.defaultRegistry);
         this.config = new ConfigFollower(loop, store, health, catalogue -> {
             metrics.configuration(catalogue.version());
             applyCatalogue(catalogue);
         });
-        this.leadership = new Leadership(loop, store, health, settings, metrics, runners, incarnation, config::current);
+        this.leadership = new Leadership(
+                loop, store, health, settings, metrics, runners, incarnation, config::current, peers::follow);
+        this.members = new Members(loop, store, health, settings, peers::update);
         Intake intake = new Intake(loop, store, health, incarnation);
         JobStates states = new JobStates(store, health);
-        this.endpoint = new JobEndpoint(loop, store, health, config, leadership, intake, states, metrics, settings);
+        this.endpoint =
+                new JobEndpoint(loop, store, health, config, leadership, peers, intake, states, metrics, settings);
     }
 
-    private void applyCatalogue(org.pollensill.queue.QueueCatalogue catalogue) {
+    private void applyCatalogue(QueueCatalogue catalogue) {
         leadership.setCatalogue(catalogue);
     }
 
+    private void onLeaderGone(String leaderIncarnation, boolean proven) {
+        leadership.onLeaderGone(leaderIncarnation, proven);
+    }
+
+    /** Answers the peers' calls. */
+    private final class Service implements PeerService {
+
+        @Override
+        public Optional<JobStatus> jobStatus(String jobId) {
+            return leadership.session().flatMap(session -> session.status(jobId));
+        }
+
+        @Override
+        public boolean storeReachable() {
+            return path.reachable();
+        }
+
+        @Override
+        public CompletableFuture<StoreReply> callStore(StoreCall call) {
+            return path.callForPeer(call);
+        }
+    }
+
     /**
      * Starts a coordinator.
      *
@@ -88,6 +128,7 @@
         coordinator.loop.run(() -> {
             coordinator.config.start();
             coordinator.leadership.start();
+            coordinator.members.start();
         });
         LOG.log(RuntimeEvent.STARTED, "machine", settings.name(), "zone", settings.zone());
         return coordinator;
@@ -96,6 +137,8 @@
     private void listen() throws ListenException {
         readiness = Optional.of(HttpServer.listen(
                 group, settings.readinessAddress(), CLIENTS, Optional.empty(), this::answerReadiness));
+        peerServer = Optional.of(
+                PeerServer.listen(group, settings.peerAddress(), settings.name(), incarnation, new Service()));
         clients = Optional.of(HttpServer.listen(group, settings.clientAddress(), CLIENTS, Optional.empty(), endpoint));
     }
 
@@ -120,12 +163,21 @@
             }
             stopping = true;
             LOG.log(RuntimeEvent.STOPPING, "machine", settings.name());
-            leadership.stop(() -> clients.get().stop().thenRun(() -> {
-                config.stop();
-                client.close();
-                LOG.log(RuntimeEvent.STOPPED, "machine", settings.name());
-                stopped.run();
-            }));
+            leadership.stop(() -> {
+                peerServer.get().announceRelease(incarnation);
+                finishRequests(stopped);
+            });
+        });
+    }
+
+    private void finishRequests(Runnable stopped) {
+        clients.get().stop().thenRun(() -> {
+            config.stop();
+            members.stop();
+            peerServer.get().close();
+            client.close();
+            LOG.log(RuntimeEvent.STOPPED, "machine", settings.name());
+            stopped.run();
         });
     }
 }
--- a/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorEvent.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorEvent.java
@@ -14,6 +14,10 @@
     STORE_LOST(7003, Level.WARN, "store lost"),
     /** The store answers again. */
     STORE_REGAINED(7004, Level.INFO, "store regained"),
+    /** The store is called through a peer, because it turns this machine away or cannot be reached. */
+    STORE_RELAYED(7005, Level.WARN, "store called through a peer"),
+    /** The store is called directly again. */
+    STORE_DIRECT(7006, Level.INFO, "store called directly"),
     /** This process took the leader lease. */
     LEADING(7010, Level.INFO, "leader lease taken"),
     /** This process tried to take the leader lease and lost. */
--- a/coordinator/src/main/java/org/pollensill/coordinator/JobEndpoint.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/JobEndpoint.java
@@ -40,6 +40,7 @@
     private final StoreHealth health;
     private final ConfigFollower config;
     private final Leadership leadership;
+    private final Peers peers;
     private final Intake intake;
     private final JobStates states;
     private final CoordinatorMetrics metrics;
@@ -51,6 +52,7 @@
             StoreHealth health,
             ConfigFollower config,
             Leadership leadership,
+            Peers peers,
             Intake intake,
             JobStates states,
             CoordinatorMetrics metrics,
@@ -60,6 +62,7 @@
         this.health = health;
         this.config = config;
         this.leadership = leadership;
+        this.peers = peers;
         this.intake = intake;
         this.states = states;
         this.metrics = metrics;
@@ -177,6 +180,16 @@
             answer("show", responder, ClientCodec.status(own.get()));
             return;
         }
+        peers.jobStatus(id).thenAccept(known -> {
+            if (known.isPresent()) {
+                answer("show", responder, ClientCodec.status(known.get()));
+                return;
+            }
+            showStored(id, responder, deadlineMs);
+        });
+    }
+
+    private void showStored(String id, Responder responder, long deadlineMs) {
         states.read(id).whenComplete((status, failure) -> {
             if (failure == null) {
                 answer("show", responder, status.map(ClientCodec::status).orElse(Answer.of(410)));
--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
@@ -182,6 +182,7 @@
             if (!jobsLoaded) {
                 jobsLoaded = true;
                 records.clear();
+                dispatcher.begin();
                 logLoaded();
             }
             pump();
@@ -265,15 +266,14 @@
             }
             return;
         }
-        // Nothing is decided before all that is recorded is known.
-        Optional<Batch> batch = loaded() ? dispatcher.plan(nowMs) : Optional.empty();
+        Optional<Batch> batch = dispatcher.plan(nowMs);
         boolean renew = nowMs - committer.lastBeganMs() >= RENEWAL_MS || committer.confirmationWanted();
         if (batch.isEmpty() && !renew) {
             return;
         }
         List<Write> writes = new ArrayList<>();
         batch.ifPresent(changes -> writes.addAll(changes.writes()));
-        if (batch.isEmpty() && loaded()) {
+        if (batch.isEmpty() && jobsLoaded) {
             writes.addAll(expired(nowMs));
         }
         committer.commit(dispatcher.waitingJobs(), writes, committed -> {
--- a/coordinator/src/main/java/org/pollensill/coordinator/Leadership.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Leadership.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
 
 import org.pollensill.dispatch.Dispatcher;
 import org.pollensill.json.JsonSyntaxException;
@@ -44,6 +45,7 @@
     private final String incarnation;
     private final LeaderWatch watch = LeaderWatch.of(LAPSE_MS);
     private final ConfigSource config;
+    private final Consumer<Optional<LeaderRow>> onLeader;
     private Optional<LeaderSession> session = Optional.empty();
     private boolean campaigning;
     private boolean reading;
@@ -64,7 +66,8 @@
             CoordinatorMetrics metrics,
             RunnerService runners,
             String incarnation,
-            ConfigSource config) {
+            ConfigSource config,
+            Consumer<Optional<LeaderRow>> onLeader) {
         this.loop = Objects.requireNonNull(loop, "loop is null");
         this.store = store;
         this.health = health;
@@ -73,6 +76,7 @@
         this.runners = runners;
         this.incarnation = incarnation;
         this.config = config;
+        this.onLeader = onLeader;
     }
 
     void start() {
@@ -91,10 +95,10 @@
         session.ifPresent(running -> running.setCatalogue(catalogue));
     }
 
-    /** Notes that the leader's process refuses connections, and looks at the row at once. */
-    void onLeaderGone(String leaderIncarnation) {
-        watch.onLeaderGone(leaderIncarnation);
-        readRow();
+    /** Notes that the leader's process has ended or given up its lease, and looks at the row at once. */
+    void onLeaderGone(String leaderIncarnation, boolean proven) {
+        watch.onLeaderGone(leaderIncarnation, proven);
+        loop.run(this::readRow);
     }
 
     /**
@@ -148,6 +152,7 @@
     }
 
     private void noteLeader() {
+        onLeader.accept(leader());
         String seen = leader().map(LeaderRow::incarnation).orElse("");
         if (!seen.equals(lastSeen)) {
             lastSeen = seen;
@@ -166,15 +171,15 @@
             campaign();
             return;
         }
-        if (watch.row().isEmpty() || watch.row().get().released()) {
-            loop.after(holdBackMs, this::readRow);
+        if (watch.vacant()) {
+            loop.after(holdBackMs, this::considerCampaign);
         }
     }
 
     private void campaign() {
         campaigning = true;
         long fence = watch.row().map(LeaderRow::fence).orElse(0L) + 1;
-        boolean formerReleased = watch.row().map(LeaderRow::released).orElse(true);
+        boolean formerSilent = watch.formerSilent();
         LeaderRow candidate = new LeaderRow(
                 settings.name(),
                 incarnation,
@@ -185,21 +190,21 @@
                 watch.row().map(LeaderRow::waitingJobs).orElse(Map.of()));
         CommitChain chain = CommitChain.campaign(Tables.LEADER_KEY, candidate, watch.rowVersion());
         chain.begin(candidate.waitingJobs(), false, List.of());
-        send(chain, formerReleased);
+        send(chain, formerSilent);
     }
 
-    private void send(CommitChain chain, boolean formerReleased) {
+    private void send(CommitChain chain, boolean formerSilent) {
         health.watch(store.commit(chain.current())).whenComplete((outcome, failure) -> {
             CommitChain.Next next =
                     failure == null ? chain.onOutcome(outcome) : chain.onFailure(PlatformException.effectOf(failure));
-            settle(chain, formerReleased, next);
+            settle(chain, formerSilent, next);
         });
     }
 
-    private void settle(CommitChain chain, boolean formerReleased, CommitChain.Next next) {
+    private void settle(CommitChain chain, boolean formerSilent, CommitChain.Next next) {
         switch (next) {
             case COMMITTED:
-                lead(chain, formerReleased);
+                lead(chain, formerSilent);
                 return;
             case READ_ROW, REPEAT:
                 // A repeated campaign could win long after its reasons have passed, so the row decides.
@@ -208,16 +213,16 @@
                         () -> health.watch(store.read(List.of(Tables.LEADER_KEY), List.of()))
                                 .whenComplete((rows, failure) -> {
                                     if (failure != null) {
-                                        settle(chain, formerReleased, CommitChain.Next.READ_ROW);
+                                        settle(chain, formerSilent, CommitChain.Next.READ_ROW);
                                         return;
                                     }
                                     CommitChain.Next found =
                                             chain.onRow(rows.stream().findFirst());
                                     if (found == CommitChain.Next.REPEAT) {
-                                        send(chain, formerReleased);
+                                        send(chain, formerSilent);
                                         return;
                                     }
-                                    settle(chain, formerReleased, found);
+                                    settle(chain, formerSilent, found);
                                 }));
                 return;
             default:
@@ -226,9 +231,10 @@
         }
     }
 
-    private void lead(CommitChain chain, boolean formerReleased) {
+    private void lead(CommitChain chain, boolean formerSilent) {
         campaigning = false;
-        LOG.log(CoordinatorEvent.LEADING, "fence", chain.row().fence(), "formerReleased", formerReleased);
+        onLeader.accept(Optional.empty());
+        LOG.log(CoordinatorEvent.LEADING, "fence", chain.row().fence(), "formerSilent", formerSilent);
         metrics.leading(true);
         LeaderSession leading = new LeaderSession(
                 loop,
@@ -238,9 +244,13 @@
                 metrics,
                 runners,
                 chain,
-                formerReleased ? 0 : Dispatcher.unconfirmedHoldMs(),
+                formerSilent ? 0 : Dispatcher.unconfirmedHoldMs(),
                 this::deposed);
         session = Optional.of(leading);
+        if (stopping) {
+            leading.release(() -> session = Optional.empty());
+            return;
+        }
         leading.start(config.current());
     }
 
--- /dev/null
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Peers.java
@@ -0,0 +1,232 @@
+package org.pollensill.coordinator;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.EventLoopGroup;
+import org.pollensill.coordinator.peer.PeerLink;
+import org.pollensill.coordinator.peer.wire.Frame;
+import org.pollensill.coordinator.peer.wire.JobQuery;
+import org.pollensill.coordinator.peer.wire.StoreCall;
+import org.pollensill.coordinator.peer.wire.StoreReply;
+import org.pollensill.job.JobStatus;
+import org.pollensill.leader.LeaderRow;
+import org.pollensill.runtime.http.Answer;
+import org.pollensill.runtime.http.Headers;
+import org.pollensill.runtime.http.HttpException;
+import org.pollensill.runtime.http.Request;
+import org.pollensill.runtime.net.AddressException;
+import org.pollensill.runtime.net.Addresses;
+
+/** Links to the leader and to a few peers through which the store can be reached when it turns this machine away. */
+final class Peers {
+
+    /** Links kept beside the one to the leader; enough that one reaches the store when a third does not. */
+    private static final int RELAYS = 3;
+
+    private static final long JOB_QUERY_MS = 400;
+    /** Added to a relayed call for the way to the peer and back. */
+    private static final long RELAY_SLACK_MS = 200;
+
+    private final EventLoopGroup loops;
+    private final CoordinatorSettings settings;
+    private final LeaderGone onLeaderGone;
+    private final Map<String, InetSocketAddress> members = new HashMap<>();
+    private final Map<InetSocketAddress, PeerLink> relays = new HashMap<>();
+    private Optional<PeerLink> leader = Optional.empty();
+    private String leaderIncarnation = "";
+
+    /** Learns that the leader seems to be gone. */
+    @FunctionalInterface
+    interface LeaderGone {
+        void accept(String incarnation, boolean proven);
+    }
+
+    Peers(EventLoopGroup loops, CoordinatorSettings settings, LeaderGone onLeaderGone) {
+        this.loops = Objects.requireNonNull(loops, "loops is null");
+        this.settings = settings;
+        this.onLeaderGone = onLeaderGone;
+    }
+
+    /** Follows a leader: a link that finds another process, or none, at its address tells that it is gone. */
+    void follow(Optional<LeaderRow> row) {
+        String incarnation = row.map(LeaderRow::incarnation).orElse("");
+        if (incarnation.equals(leaderIncarnation)) {
+            return;
+        }
+        leader.ifPresent(PeerLink::close);
+        leader = Optional.empty();
+        leaderIncarnation = incarnation;
+        if (row.isEmpty()) {
+            return;
+        }
+        if (row.get().leader().equals(settings.name())) {
+            // The row names this machine but not this process: a former life of it, which has ended.
+            onLeaderGone.accept(incarnation, true);
+            return;
+        }
+        try {
+            InetSocketAddress address = Addresses.parse(row.get().peerAddress());
+            leader = Optional.of(PeerLink.open(loops, address, settings.name(), new LeaderListener(incarnation)));
+        } catch (AddressException e) {
+            // Without an address the lapse of the row alone tells when the leader is gone.
+            leader = Optional.empty();
+        }
+    }
+
+    private final class LeaderListener implements PeerLink.Listener {
+
+        private final String expected;
+
+        private LeaderListener(String expected) {
+            this.expected = expected;
+        }
+
+        @Override
+        public void identified(String incarnation) {
+            if (!incarnation.equals(expected)) {
+                onLeaderGone.accept(expected, true);
+            }
+        }
+
+        @Override
+        public void refused() {
+            onLeaderGone.accept(expected, false);
+        }
+
+        @Override
+        public void released(String incarnation) {
+            onLeaderGone.accept(incarnation, true);
+        }
+    }
+
+    /** Takes the directory and keeps links to a few members, other ones on each machine. */
+    void update(Map<String, InetSocketAddress> current) {
+        members.clear();
+        members.putAll(current);
+        List<String> names = new ArrayList<>(members.keySet());
+        Collections.sort(names);
+        Collections.shuffle(names, new Random(settings.name().hashCode()));
+        Map<InetSocketAddress, PeerLink> kept = new HashMap<>();
+        for (String name : names.subList(0, Math.min(RELAYS, names.size()))) {
+            InetSocketAddress address = members.get(name);
+            PeerLink link = relays.remove(address);
+            kept.put(
+                    address, link == null ? PeerLink.open(loops, address, settings.name(), new RelayListener()) : link);
+        }
+        relays.values().forEach(PeerLink::close);
+        relays.clear();
+        relays.putAll(kept);
+    }
+
+    /** A lost relay is only not used; its link opens again by itself. */
+    private static final class RelayListener implements PeerLink.Listener {
+
+        @Override
+        public void identified(String incarnation) {}
+
+        @Override
+        public void refused() {}
+
+        @Override
+        public void released(String incarnation) {}
+    }
+
+    /**
+     * Asks the leader for a job's state.
+     *
+     * @param jobId the job
+     * @return the state, empty where the leader does not know the job; fails without a reply
+     */
+    CompletableFuture<Optional<JobStatus>> jobStatus(String jobId) {
+        if (leader.isEmpty() || !leader.get().up()) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        Frame.Builder query =
+                Frame.newBuilder().setJobQuery(JobQuery.newBuilder().setJobId(jobId));
+        return leader.get().call(query, JOB_QUERY_MS).handle((reply, failure) -> {
+            if (failure != null || reply.getJobReply().getStatus().isEmpty()) {
+                return Optional.empty();
+            }
+            return status(reply.getJobReply().getStatus());
+        });
+    }
+
+    private static Optional<JobStatus> status(String name) {
+        for (JobStatus status : JobStatus.values()) {
+            if (status.name().equals(name)) {
+                return Optional.of(status);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns whether a peer can call the store for this coordinator. */
+    boolean canRelay() {
+        return relay().isPresent();
+    }
+
+    private Optional<PeerLink> relay() {
+        if (leader.isPresent() && leader.get().reachesStore()) {
+            return leader;
+        }
+        for (PeerLink link : relays.values()) {
+            if (link.reachesStore()) {
+                return Optional.of(link);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Calls the store through a peer.
+     *
+     * @param request the call
+     * @param timeoutMs longest time to the answer
+     * @return the answer; fails with a {@link HttpException}
+     */
+    CompletableFuture<Answer> callStore(Request request, long timeoutMs) {
+        Optional<PeerLink> link = relay();
+        if (link.isEmpty()) {
+            return CompletableFuture.failedFuture(
+                    new HttpException(HttpException.Reason.CONNECT_FAILED, false, "no peer reaches the store"));
+        }
+        StoreCall call = StoreCall.newBuilder()
+                .setMethod(request.method())
+                .setUri(request.uri())
+                .setBody(ByteString.copyFrom(request.body()))
+                .setTimeoutMs((int) timeoutMs)
+                .build();
+        CompletableFuture<Answer> answer = new CompletableFuture<>();
+        link.get()
+                .call(Frame.newBuilder().setStoreCall(call), timeoutMs + RELAY_SLACK_MS)
+                .whenComplete((reply, failure) -> {
+                    if (failure != null) {
+                        answer.completeExceptionally(new HttpException(
+                                HttpException.Reason.TIMED_OUT, true, "relay: " + failure.getMessage()));
+                        return;
+                    }
+                    complete(answer, reply.getStoreReply());
+                });
+        return answer;
+    }
+
+    private static void complete(CompletableFuture<Answer> answer, StoreReply reply) {
+        if (reply.getStatus() == 0) {
+            answer.completeExceptionally(
+                    new HttpException(HttpException.Reason.CLOSED, reply.getSent(), "relay: " + reply.getProblem()));
+            return;
+        }
+        answer.complete(
+                new Answer(reply.getStatus(), Headers.empty(), reply.getBody().toByteArray()));
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/org/pollensill/coordinator/peer/PeerLink.java
@@ -0,0 +1,247 @@
+package org.pollensill.coordinator.peer;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import org.pollensill.coordinator.peer.wire.Frame;
+import org.pollensill.coordinator.peer.wire.Hello;
+import org.pollensill.coordinator.peer.wire.Ping;
+import org.pollensill.runtime.net.ConnectFailures;
+import org.pollensill.runtime.net.EventLoops;
+
+/** Connection to one peer, opened again after a loss. Its state belongs to the event loop. */
+public final class PeerLink {
+
+    private static final int CONNECT_TIMEOUT_MS = 500;
+    private static final long PING_MS = 300;
+    /** A peer that has not answered for this long is silent; its connection is opened anew. */
+    private static final long SILENCE_MS = 1_000;
+
+    private static final long RECONNECT_MS = 200;
+
+    /** Learns what becomes of the peer. */
+    public interface Listener {
+
+        /**
+         * A process answers at the address.
+         *
+         * @param incarnation its identity
+         */
+        void identified(String incarnation);
+
+        /** No process listens at the address. */
+        void refused();
+
+        /**
+         * The peer has given up the leader lease.
+         *
+         * @param incarnation its identity
+         */
+        void released(String incarnation);
+    }
+
+    private final EventLoopGroup loops;
+    private final InetSocketAddress address;
+    private final String ownName;
+    private final Listener listener;
+    private final Map<Long, CompletableFuture<Frame>> calls = new HashMap<>();
+    private Optional<Channel> channel = Optional.empty();
+    private long nextCall = 1;
+    private long answeredAtMs;
+    private boolean storeReachable;
+    private boolean closed;
+
+    private PeerLink(EventLoopGroup loops, InetSocketAddress address, String ownName, Listener listener) {
+        this.loops = loops;
+        this.address = address;
+        this.ownName = ownName;
+        this.listener = listener;
+    }
+
+    /**
+     * Opens a link.
+     *
+     * @param loops the event loops
+     * @param address the peer
+     * @param ownName name of this machine
+     * @param listener learns what becomes of the peer
+     * @return the link
+     */
+    public static PeerLink open(EventLoopGroup loops, InetSocketAddress address, String ownName, Listener listener) {
+        Objects.requireNonNull(address, "address is null");
+        PeerLink link = new PeerLink(loops, address, ownName, Objects.requireNonNull(listener, "listener is null"));
+        link.connect();
+        return link;
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    private void connect() {
+        if (closed) {
+            return;
+        }
+        new Bootstrap()
+                .group(loops)
+                .channel(EventLoops.socketChannel())
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel socket) {
+                        PeerFrames.addTo(socket.pipeline());
+                        socket.pipeline().addLast(new Replies());
+                    }
+                })
+                .connect(address)
+                .addListener((ChannelFuture connected) -> {
+                    if (connected.isSuccess()) {
+                        begin(connected.channel());
+                        return;
+                    }
+                    if (ConnectFailures.isRefused(connected.cause()) && !closed) {
+                        listener.refused();
+                    }
+                    reconnectLater();
+                });
+    }
+
+    private void begin(Channel opened) {
+        if (closed) {
+            opened.close();
+            return;
+        }
+        channel = Optional.of(opened);
+        answeredAtMs = nowMs();
+        opened.closeFuture().addListener(ended -> lost(opened));
+        call(Frame.newBuilder().setHello(Hello.newBuilder().setName(ownName)), SILENCE_MS)
+                .whenComplete((reply, failure) -> {
+                    if (failure == null) {
+                        listener.identified(reply.getHelloReply().getIncarnation());
+                    }
+                });
+        ping(opened);
+    }
+
+    private void ping(Channel opened) {
+        if (closed || !opened.isActive()) {
+            return;
+        }
+        if (nowMs() - answeredAtMs > SILENCE_MS) {
+            opened.close();
+            return;
+        }
+        call(Frame.newBuilder().setPing(Ping.getDefaultInstance()), SILENCE_MS).whenComplete((reply, failure) -> {
+            if (failure == null) {
+                storeReachable = reply.getPong().getStoreReachable();
+            }
+        });
+        opened.eventLoop().schedule(() -> ping(opened), PING_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void lost(Channel ended) {
+        if (channel.isPresent() && channel.get() == ended) {
+            channel = Optional.empty();
+            storeReachable = false;
+            Map<Long, CompletableFuture<Frame>> open = new HashMap<>(calls);
+            calls.clear();
+            open.values().forEach(call -> call.completeExceptionally(new TimeoutException("peer connection lost")));
+            // At once: a refusal tells that the process has ended.
+            connect();
+        }
+    }
+
+    private void reconnectLater() {
+        loops.next().schedule(this::connect, RECONNECT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Calls the peer.
+     *
+     * @param frame the call without a number
+     * @param timeoutMs longest time to the reply
+     * @return the reply; fails where none comes in time or the link is down
+     */
+    public CompletableFuture<Frame> call(Frame.Builder frame, long timeoutMs) {
+        CompletableFuture<Frame> reply = new CompletableFuture<>();
+        if (channel.isEmpty() || !channel.get().isActive()) {
+            reply.completeExceptionally(new TimeoutException("peer not connected"));
+            return reply;
+        }
+        long number = nextCall++;
+        calls.put(number, reply);
+        channel.get().writeAndFlush(frame.setCall(number).build());
+        channel.get()
+                .eventLoop()
+                .schedule(
+                        () -> {
+                            if (calls.remove(number) != null) {
+                                reply.completeExceptionally(new TimeoutException("no reply from the peer"));
+                            }
+                        },
+                        timeoutMs,
+                        TimeUnit.MILLISECONDS);
+        return reply;
+    }
+
+    /**
+     * Returns whether the peer answers.
+     *
+     * @return whether the link is up
+     */
+    public boolean up() {
+        return channel.isPresent() && nowMs() - answeredAtMs <= SILENCE_MS;
+    }
+
+    /**
+     * Returns whether the peer said lately that it reaches the store.
+     *
+     * @return whether it can be asked to call the store
+     */
+    public boolean reachesStore() {
+        return up() && storeReachable;
+    }
+
+    /** Closes the link for good. */
+    public void close() {
+        closed = true;
+        channel.ifPresent(Channel::close);
+    }
+
+    private final class Replies extends SimpleChannelInboundHandler<Frame> {
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+            answeredAtMs = nowMs();
+            if (frame.getBodyCase() == Frame.BodyCase.RELEASED) {
+                listener.released(frame.getReleased().getIncarnation());
+                return;
+            }
+            CompletableFuture<Frame> call = calls.remove(frame.getCall());
+            if (call != null) {
+                call.complete(frame);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/org/pollensill/coordinator/peer/PeerServer.java
@@ -0,0 +1,141 @@
+package org.pollensill.coordinator.peer;
+
+import java.net.InetSocketAddress;
+import java.util.Objects;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import org.pollensill.coordinator.peer.wire.Frame;
+import org.pollensill.coordinator.peer.wire.HelloReply;
+import org.pollensill.coordinator.peer.wire.JobReply;
+import org.pollensill.coordinator.peer.wire.Pong;
+import org.pollensill.coordinator.peer.wire.Released;
+import org.pollensill.runtime.http.ListenException;
+import org.pollensill.runtime.net.Addresses;
+import org.pollensill.runtime.net.EventLoops;
+
+/** Listener for other coordinators. */
+public final class PeerServer {
+
+    private final Channel listener;
+    private final ChannelGroup connections;
+
+    private PeerServer(Channel listener, ChannelGroup connections) {
+        this.listener = listener;
+        this.connections = connections;
+    }
+
+    /**
+     * Opens the listener.
+     *
+     * @param loops the event loops
+     * @param address the address
+     * @param name name of this machine
+     * @param incarnation identity of this process
+     * @param service answers the calls
+     * @return the server
+     * @throws ListenException if the address cannot be used
+     */
+    public static PeerServer listen(
+            EventLoopGroup loops, InetSocketAddress address, String name, String incarnation, PeerService service)
+            throws ListenException {
+        Objects.requireNonNull(service, "service is null");
+        HelloReply identity = HelloReply.newBuilder()
+                .setName(name)
+                .setIncarnation(incarnation)
+                .build();
+        ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+        Channel listener = new ServerBootstrap()
+                .group(loops)
+                .channel(EventLoops.serverChannel())
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        connections.add(channel);
+                        PeerFrames.addTo(channel.pipeline());
+                        channel.pipeline().addLast(new Calls(identity, service));
+                    }
+                })
+                .bind(address)
+                .awaitUninterruptibly()
+                .channel();
+        if (!listener.isActive()) {
+            throw new ListenException(Addresses.format(address));
+        }
+        return new PeerServer(listener, connections);
+    }
+
+    /**
+     * Tells all connected peers that this process has given up the leader lease.
+     *
+     * @param incarnation identity of this process
+     */
+    public void announceRelease(String incarnation) {
+        Released released = Released.newBuilder().setIncarnation(incarnation).build();
+        connections.writeAndFlush(Frame.newBuilder().setReleased(released).build());
+    }
+
+    /** Closes the listener and all connections. */
+    public void close() {
+        listener.close();
+        connections.close();
+    }
+
+    private static final class Calls extends SimpleChannelInboundHandler<Frame> {
+
+        private final HelloReply identity;
+        private final PeerService service;
+
+        private Calls(HelloReply identity, PeerService service) {
+            this.identity = identity;
+            this.service = service;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+            Frame.Builder reply = Frame.newBuilder().setCall(frame.getCall());
+            switch (frame.getBodyCase()) {
+                case HELLO:
+                    context.writeAndFlush(reply.setHelloReply(identity).build());
+                    return;
+                case PING:
+                    Pong pong = Pong.newBuilder()
+                            .setStoreReachable(service.storeReachable())
+                            .build();
+                    context.writeAndFlush(reply.setPong(pong).build());
+                    return;
+                case JOB_QUERY:
+                    String status = service.jobStatus(frame.getJobQuery().getJobId())
+                            .map(Enum::name)
+                            .orElse("");
+                    context.writeAndFlush(
+                            reply.setJobReply(JobReply.newBuilder().setStatus(status))
+                                    .build());
+                    return;
+                case STORE_CALL:
+                    service.callStore(frame.getStoreCall())
+                            .thenAccept(answer -> context.writeAndFlush(
+                                    reply.setStoreReply(answer).build()));
+                    return;
+                default:
+                // A message of a later version; its sender counts the missing reply as a failed call.
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/coordinator/src/main/java/org/pollensill/coordinator/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Connections between coordinators: framed protobuf over TCP, calls paired with their replies. */
+package org.pollensill.coordinator.peer;
--- a/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
@@ -40,6 +40,7 @@
     private final Sharing sharing;
     private final Scheduling scheduling;
     private final Upkeep upkeep;
+    private boolean begun;
 
     private Dispatcher(
             long fence, long nowMs, long heldForMs, String recordKeyPrefix, Orders orders, DispatchListener listener) {
@@ -127,6 +128,14 @@
         reports.stopAll(job.get(), nowMs);
     }
 
+    /**
+     * Begins to give orders. To be called once all recorded jobs are added: an end of a job that is not known yet would
+     * be acknowledged without being counted.
+     */
+    public void begin() {
+        begun = true;
+    }
+
     /**
      * Takes the list of runners.
      *
@@ -150,6 +159,9 @@
      * @return the changes, empty where there are none
      */
     public Optional<Batch> plan(long nowMs) {
+        if (!begun) {
+            return Optional.empty();
+        }
         scheduling.place(nowMs);
         Optional<Batch> batch = recorder.take();
         if (batch.isEmpty()) {
@@ -360,6 +372,9 @@
      * @param mayExtend whether leases may be extended, because the leader lease was confirmed recently
      */
     public void tick(long nowMs, long wallMs, boolean mayExtend) {
+        if (!begun) {
+            return;
+        }
         jobs.makeDue(wallMs, nowMs);
         upkeep.tick(nowMs, mayExtend);
     }
--- a/core/src/main/java/org/pollensill/dispatch/RunnerState.java
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerState.java
@@ -37,7 +37,6 @@
     /** Number of tasks that serve, by image. */
     final Map<String, Integer> servingImages = new LinkedHashMap<>();
 
-
     /** Whether the runner has answered to this leader's fencing token. */
     boolean fenced;
 
--- a/core/src/main/java/org/pollensill/dispatch/Sharing.java
+++ b/core/src/main/java/org/pollensill/dispatch/Sharing.java
@@ -106,8 +106,7 @@
             }
         }
         for (TaskState task : filling) {
-            boolean suspected =
-                    largest < UNEXPLAINED || contribution(runner, task, victim) >= SUSPECTED * largest;
+            boolean suspected = largest < UNEXPLAINED || contribution(runner, task, victim) >= SUSPECTED * largest;
             if (task.pace > 0 && suspected) {
                 setPace(runner, task, 0, nowMs);
             }
--- a/core/src/main/java/org/pollensill/leader/LeaderWatch.java
+++ b/core/src/main/java/org/pollensill/leader/LeaderWatch.java
@@ -15,6 +15,7 @@
     private long changedAtMs;
     private boolean read;
     private boolean gone;
+    private boolean ended;
 
     private LeaderWatch(long lapseMs) {
         this.lapseMs = lapseMs;
@@ -46,6 +47,7 @@
             boolean sameLeader = present.map(LeaderRow::incarnation).equals(row.map(LeaderRow::incarnation));
             changedAtMs = nowMs;
             gone = gone && sameLeader;
+            ended = ended && sameLeader;
         }
         read = true;
         row = present;
@@ -53,16 +55,27 @@
     }
 
     /**
-     * Notes that the leader's process no longer takes connections.
+     * Notes that the leader's process seems to be gone.
      *
      * @param incarnation the leader's process
+     * @param proven whether it has certainly ended; a refused connection may come from the network
      */
-    public void onLeaderGone(String incarnation) {
+    public void onLeaderGone(String incarnation, boolean proven) {
         if (row.isPresent() && row.get().incarnation().equals(incarnation)) {
             gone = true;
+            ended = ended || proven;
         }
     }
 
+    /**
+     * Returns whether the former leader gives no orders any more.
+     *
+     * @return whether there is none, it has released the lease, or its process has certainly ended
+     */
+    public boolean formerSilent() {
+        return row.isEmpty() || row.get().released() || ended;
+    }
+
     /**
      * Returns whether a takeover should be tried.
      *
@@ -74,9 +87,17 @@
         if (!read) {
             return false;
         }
-        boolean vacant = row.isEmpty() || row.get().released() || gone;
         long quietMs = nowMs - changedAtMs;
-        return vacant ? quietMs >= delayMs : quietMs >= lapseMs + delayMs;
+        return vacant() ? quietMs >= delayMs : quietMs >= lapseMs + delayMs;
+    }
+
+    /**
+     * Returns whether nobody holds the lease as far as is known.
+     *
+     * @return whether the row is absent, released, or that of a process that has ended
+     */
+    public boolean vacant() {
+        return read && (row.isEmpty() || row.get().released() || gone);
     }
 
     /**
--- /dev/null
+++ b/core/src/test/java/org/pollensill/dispatch/DispatcherTest.java
@@ -0,0 +1,344 @@
+package org.pollensill.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pollensill.job.JobRecord;
+import org.pollensill.job.JobStatus;
+import org.pollensill.job.TaskName;
+import org.pollensill.job.TaskRecord;
+import org.pollensill.job.Trait;
+import org.pollensill.runner.EndKind;
+import org.pollensill.runner.HoldAnswer;
+import org.pollensill.runner.OrderAnswer;
+import org.pollensill.runner.OrderOutcome;
+import org.pollensill.runner.RunnerReport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class DispatcherTest {
+
+    private static final long T0 = 100_000;
+    private static final long CLOCK = 5_000;
+
+    private final RecordedOrders orders = new RecordedOrders();
+    private final QuietListener listener = new QuietListener();
+    private final Dispatcher dispatcher = Dispatcher.takeOver(7, T0, 0, "progress/", orders, listener);
+
+    private void lead(String... runners) {
+        dispatcher.setCatalogue(Samples.catalogue(2));
+        dispatcher.begin();
+        List<org.pollensill.runner.RunnerEntry> entries = new ArrayList<>();
+        for (String id : runners) {
+            entries.add(Samples.runner(id));
+        }
+        dispatcher.updateRunners(entries, T0);
+        dispatcher.tick(T0, T0, true);
+        for (RecordedOrders.Hold hold : List.copyOf(orders.holds)) {
+            report(hold, T0, List.of(), List.of());
+        }
+        orders.holds.clear();
+    }
+
+    private void report(
+            RecordedOrders.Hold hold,
+            long nowMs,
+            List<RunnerReport.RunningTask> running,
+            List<RunnerReport.EndedRun> ended) {
+        RunnerReport report = new RunnerReport(CLOCK + nowMs - T0, 1, running, ended);
+        dispatcher.onHold(
+                hold.to().id(), hold.sequence(), new HoldAnswer(OrderOutcome.ACCEPTED, Optional.of(report)), nowMs);
+    }
+
+    private void commit(long nowMs) {
+        Optional<Batch> batch = dispatcher.plan(nowMs);
+        batch.ifPresent(found -> dispatcher.committed(found, nowMs));
+    }
+
+    private RecordedOrders.Start startOne(long nowMs) {
+        commit(nowMs);
+        assertEquals(1, orders.starts.size());
+        RecordedOrders.Start start = orders.starts.remove(0);
+        dispatcher.onStart(
+                start.order().task(),
+                start.order().run(),
+                start.to().id(),
+                new OrderAnswer(OrderOutcome.ACCEPTED, Optional.of(CLOCK + nowMs - T0)),
+                nowMs);
+        return start;
+    }
+
+    private RecordedOrders.Hold nextHold(long nowMs) {
+        dispatcher.tick(nowMs, nowMs, true);
+        assertFalse(orders.holds.isEmpty());
+        return orders.holds.remove(orders.holds.size() - 1);
+    }
+
+    private static RunnerReport.EndedRun end(long number, TaskName task, int run, EndKind kind) {
+        return new RunnerReport.EndedRun(number, task, run, kind, "");
+    }
+
+    @Nested
+    class Takeover {
+
+        @Test
+        void shouldNotAskRunnersBeforeJobsAreLoaded() {
+            dispatcher.updateRunners(List.of(Samples.runner("r1")), T0);
+            dispatcher.tick(T0, T0, true);
+            assertTrue(orders.holds.isEmpty());
+            dispatcher.begin();
+            dispatcher.tick(T0, T0, true);
+            assertEquals(1, orders.holds.size());
+        }
+
+        @Test
+        void shouldCountAnEndThatTheFormerLeaderLeftUnacknowledged() {
+            TaskRecord placed = new TaskRecord(0, 0, 0, false, 3, 0, "", Optional.of(new TaskRecord.Place("r1", 1)));
+            dispatcher.setCatalogue(Samples.catalogue(2));
+            dispatcher.addJob(
+                    Samples.job("aaaaaaaaaaaaaaaa", Samples.step(1)),
+                    Optional.of(new JobRecord(JobStatus.RUNNING, List.of(placed))),
+                    T0);
+            dispatcher.begin();
+            dispatcher.updateRunners(List.of(Samples.runner("r1")), T0);
+            RecordedOrders.Hold hold = nextHold(T0);
+            TaskName task = new TaskName("aaaaaaaaaaaaaaaa", 0, 0, 0);
+            report(hold, T0 + 5, List.of(), List.of(end(1, task, 3, EndKind.DONE)));
+            commit(T0 + 6);
+            assertTrue(orders.starts.isEmpty());
+            assertEquals(Optional.of(JobStatus.DONE), dispatcher.status("aaaaaaaaaaaaaaaa"));
+        }
+
+        @Test
+        void shouldWaitForTheLapseOfASilentRunnersLease() {
+            TaskRecord placed = new TaskRecord(0, 0, 0, false, 1, 0, "", Optional.of(new TaskRecord.Place("gone", 1)));
+            dispatcher.addJob(
+                    Samples.job("aaaaaaaaaaaaaaaa", Samples.step(1)),
+                    Optional.of(new JobRecord(JobStatus.RUNNING, List.of(placed))),
+                    T0);
+            lead("r2");
+            dispatcher.tick(T0 + DispatchTiming.LEASE_MS - 1, T0, true);
+            commit(T0 + DispatchTiming.LEASE_MS - 1);
+            assertTrue(orders.starts.isEmpty());
+            long lapsedMs = T0 + DispatchTiming.LEASE_MS * 100 / 98 + 2 * DispatchTiming.MARGIN_MS;
+            dispatcher.tick(lapsedMs, lapsedMs, true);
+            commit(lapsedMs);
+            assertEquals(1, orders.starts.size());
+            assertEquals(2, orders.starts.get(0).order().run());
+        }
+    }
+
+    @Nested
+    class Starts {
+
+        @Test
+        void shouldRecordThePlacementBeforeTheStartIsSent() {
+            lead("r1");
+            dispatcher.addJob(Samples.job("aaaaaaaaaaaaaaaa", Samples.step(1)), Optional.empty(), T0);
+            Optional<Batch> batch = dispatcher.plan(T0);
+            assertTrue(orders.starts.isEmpty());
+            assertTrue(batch.get().writes().get(0).value().get().contains("\"r1\""));
+            dispatcher.committed(batch.get(), T0);
+            assertEquals(1, orders.starts.size());
+        }
+
+        @Test
+        void shouldNotTakeAPlacementOnAnIdleRunnerForLapsed() {
+            lead("r1");
+            long laterMs = T0 + 2 * DispatchTiming.LEASE_MS;
+            dispatcher.addJob(Samples.job("aaaaaaaaaaaaaaaa", Samples.step(1)), Optional.empty(), laterMs);
+            Optional<Batch> batch = dispatcher.plan(laterMs);
+            dispatcher.tick(laterMs + 50, laterMs + 50, true);
+            dispatcher.committed(batch.get(), laterMs + 50);
+            assertEquals(1, orders.starts.size());
+        }
+
+        @Test
+        void shouldRepeatTheSameRunAfterALostAnswer() {
+            lead("r1");
+            dispatcher.addJob(Samples.job("aaaaaaaaaaaaaaaa", Samples.step(1)), Optional.empty(), T0);
+            commit(T0);
+            RecordedOrders.Start first = orders.starts.remove(0);
+            dispatcher.onStart(
+                    first.order().task(),
+                    first.order().run(),
+                    "r1",
+                    new OrderAnswer(OrderOutcome.UNANSWERED, Optional.empty()),
+                    T0 + 700);
+            assertEquals(1, orders.starts.size());
+            assertEquals(first.order().run(), orders.starts.get(0).order().run());
+        }
+
+        @Test
+        void shouldNotOverfillARunner() {
+            lead("r1");
+            dispatcher.addJob(Samples.job("aaaaaaaaaaaaaaaa", Samples.step(9)), Optional.empty(), T0);
+            commit(T0);
+            assertEquals(4, orders.starts.size());
+        }
+
+        @Test
+        void shouldPlaceAllMembersOfAGangOrNone() {
+            lead("r1");
+            dispatcher.addJob(Samples.job("aaaaaaaaaaaaaaaa", Samples.step(5, Trait.GANG)), Optional.empty(), T0);
+            commit(T0);
+            assertTrue(orders.starts.isEmpty());
+            dispatcher.addJob(Samples.job("bbbbbbbbbbbbbbbb", Samples.step(4, Trait.GANG)), Optional.empty(), T0);
+            commit(T0);
+            assertEquals(4, orders.starts.size());
+        }
+
+        @Test
+        void shouldStartAStepOnlyAfterTheStepsBeforeIt() {
+            lead("r1");
+            dispatcher.addJob(
+                    Samples.job("aaaaaaaaaaaaaaaa", Samples.step(1), Samples.after(Samples.step(1), 0)),
+                    Optional.empty(),
+                    T0);
+            RecordedOrders.Start first = startOne(T0);
+            RecordedOrders.Hold hold = nextHold(T0 + 10);
+            report(hold, T0 + 900, List.of(), List.of(end(1, first.order().task(), 1, EndKind.DONE)));
+            commit(T0 + 901);
+            assertEquals(1, orders.starts.get(0).order().task().step());
+        }
+    }
+
+    @Nested
+    class Ends {
+
+        @Test
+        void shouldAcknowledgeAnEndOnlyAfterItIsDurable() {
+            lead("r1");
+            dispatcher.addJob(Samples.job("aaaaaaaaaaaaaaaa", Samples.step(2)), Optional.empty(), T0);
+            commit(T0);
+            for (RecordedOrders.Start start : orders.starts) {
+                dispatcher.onStart(
+                        start.order().task(), 1, "r1", new OrderAnswer(OrderOutcome.ACCEPTED, Optional.of(CLOCK)), T0);
+            }
+            RecordedOrders.Hold hold = nextHold(T0 + 10);
+            TaskName done = orders.starts.get(0).order().task();
+            TaskName working = orders.starts.get(1).order().task();
+            List<RunnerReport.RunningTask> running = List.of(new RunnerReport.RunningTask(working, 1, "", 50, 0));
+            report(hold, T0 + 500, running, List.of(end(1, done, 1, EndKind.DONE)));
+            Optional<Batch> batch = dispatcher.plan(T0 + 500);
+            long unrecordedMs = T0 + 500 + DispatchTiming.UNRECORDED_RENEWAL_MS;
+            assertEquals(0, nextHold(unrecordedMs).order().acknowledged());
+            report(lastHold(unrecordedMs), unrecordedMs, running, List.of(end(1, done, 1, EndKind.DONE)));
+            dispatcher.committed(batch.get(), unrecordedMs + 1);
+            assertEquals(1, nextHold(unrecordedMs + 1).order().acknowledged());
+        }
+
+        private RecordedOrders.Hold lastHold(long nowMs) {
+            return new RecordedOrders.Hold(
+                    new org.pollensill.runner.RunnerAddress("r1", "10.0.0.1:80"),
+                    new org.pollensill.runner.HoldOrder(Optional.empty(), 7, 0, 0),
+                    3);
+        }
+
+        @Test
+        void shouldShowDoneOnlyWhenItIsRecorded() {
+            lead("r1");
+            dispatcher.addJob(Samples.job("aaaaaaaaaaaaaaaa", Samples.step(1)), Optional.empty(), T0);
+            RecordedOrders.Start start = startOne(T0);
+            RecordedOrders.Hold hold = nextHold(T0 + 10);
+            report(hold, T0 + 900, List.of(), List.of(end(1, start.order().task(), 1, EndKind.DONE)));
+            Optional<Batch> batch = dispatcher.plan(T0 + 900);
+            assertEquals(Optional.of(JobStatus.RUNNING), dispatcher.status("aaaaaaaaaaaaaaaa"));
+            dispatcher.committed(batch.get(), T0 + 905);
+            assertEquals(Optional.of(JobStatus.DONE), dispatcher.status("aaaaaaaaaaaaaaaa"));
+        }
+
+        @Test
+        void shouldFailAJobAfterAllAttempts() {
+            lead("r1");
+            dispatcher.addJob(Samples.job("aaaaaaaaaaaaaaaa", Samples.step(1)), Optional.empty(), T0);
+            RecordedOrders.Start first = startOne(T0);
+            report(
+                    nextHold(T0 + 10),
+                    T0 + 100,
+                    List.of(),
+                    List.of(end(1, first.order().task(), 1, EndKind.FAILED)));
+            commit(T0 + 101);
+            RecordedOrders.Start second = startOne(T0 + 101 + DispatchTiming.FAILED_RETRY_MS);
+            assertEquals(2, second.order().run());
+            long laterMs = T0 + 102 + DispatchTiming.FAILED_RETRY_MS;
+            report(
+                    nextHold(laterMs),
+                    laterMs + 100,
+                    List.of(),
+                    List.of(end(2, second.order().task(), 2, EndKind.FAILED)));
+            commit(laterMs + 101);
+            assertEquals(Optional.of(JobStatus.FAILED), dispatcher.status("aaaaaaaaaaaaaaaa"));
+        }
+
+        @Test
+        void shouldIgnoreAReportThatWasAskedForBeforeTheStartWasConfirmed() {
+            lead("r1");
+            dispatcher.addJob(Samples.job("aaaaaaaaaaaaaaaa", Samples.step(2)), Optional.empty(), T0);
+            commit(T0);
+            RecordedOrders.Start start = orders.starts.get(0);
+            RecordedOrders.Start other = orders.starts.get(1);
+            accept(start, T0);
+            RecordedOrders.Hold hold = nextHold(T0 + 10);
+            accept(other, T0 + 20);
+            // The runner wrote this report before the second start arrived.
+            report(
+                    hold,
+                    T0 + 25,
+                    List.of(new RunnerReport.RunningTask(start.order().task(), 1, "", 1, 0)),
+                    List.of());
+            commit(T0 + 26);
+            assertEquals(2, orders.starts.size());
+        }
+
+        private void accept(RecordedOrders.Start start, long nowMs) {
+            dispatcher.onStart(
+                    start.order().task(),
+                    1,
+                    "r1",
+                    new OrderAnswer(OrderOutcome.ACCEPTED, Optional.of(CLOCK + nowMs - T0)),
+                    nowMs);
+        }
+    }
+
+    @Nested
+    class Leaving {
+
+        @Test
+        void shouldStartNothingOnADrainingRunner() {
+            lead("r1");
+            dispatcher.updateRunners(List.of(Samples.runner("r1", 1, true)), T0 + 10);
+            dispatcher.addJob(Samples.job("aaaaaaaaaaaaaaaa", Samples.step(1)), Optional.empty(), T0 + 20);
+            assertTrue(dispatcher.plan(T0 + 20).isEmpty());
+        }
+
+        @Test
+        void shouldRestartAtOnceWhatRanOnARunnerThatHasStartedAnew() {
+            lead("r1", "r2");
+            dispatcher.addJob(Samples.job("aaaaaaaaaaaaaaaa", Samples.step(1)), Optional.empty(), T0);
+            RecordedOrders.Start start = startOne(T0);
+            String other = start.to().id().equals("r1") ? "r2" : "r1";
+            dispatcher.updateRunners(
+                    List.of(Samples.runner(start.to().id(), 2, false), Samples.runner(other)), T0 + 100);
+            commit(T0 + 101);
+            assertEquals(2, orders.starts.get(0).order().run());
+            assertEquals(other, orders.starts.get(0).to().id());
+        }
+
+        @Test
+        void shouldStopTheTasksOfACancelledJob() {
+            lead("r1");
+            dispatcher.addJob(Samples.job("aaaaaaaaaaaaaaaa", Samples.step(1)), Optional.empty(), T0);
+            startOne(T0);
+            dispatcher.cancel("aaaaaaaaaaaaaaaa", T0 + 10);
+            commit(T0 + 10);
+            assertEquals(1, orders.stops.size());
+            assertEquals(Optional.of(JobStatus.CANCELLED), dispatcher.status("aaaaaaaaaaaaaaaa"));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/pollensill/dispatch/QuietListener.java
@@ -0,0 +1,33 @@
+package org.pollensill.dispatch;
+
+import org.pollensill.job.JobStatus;
+import org.pollensill.job.TaskName;
+
+/** Counts what tests ask for and ignores the rest. */
+class QuietListener implements DispatchListener {
+
+    int fenced;
+
+    @Override
+    public void placed(TaskName task, int run, String runner, long waitedMs) {}
+
+    @Override
+    public void started(TaskName task, int run, String runner) {}
+
+    @Override
+    public void done(TaskName task, int run, String runner) {}
+
+    @Override
+    public void lost(TaskName task, int run, String runner, Cause cause) {}
+
+    @Override
+    public void status(String job, JobStatus status) {}
+
+    @Override
+    public void setAside(String runner, int failures, long forMs) {}
+
+    @Override
+    public void fenced(String runner) {
+        fenced++;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/pollensill/dispatch/Samples.java
@@ -0,0 +1,60 @@
+package org.pollensill.dispatch;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+
+import org.pollensill.job.JobRequest;
+import org.pollensill.job.PlacementRule;
+import org.pollensill.job.Serving;
+import org.pollensill.job.StepSpec;
+import org.pollensill.job.Timetable;
+import org.pollensill.job.Trait;
+import org.pollensill.queue.QueueCatalogue;
+import org.pollensill.queue.QueuePolicy;
+import org.pollensill.runner.RunnerEntry;
+import org.pollensill.worker.Resources;
+
+/** Jobs, queues and runners for tests. */
+final class Samples {
+
+    static final long MB = 1L << 20;
+    static final Resources NEED = new Resources(2_000, 1_000 * MB, 0);
+    static final Resources CAPACITY = new Resources(8_000, 32_000 * MB, 0);
+
+    private Samples() {}
+
+    static StepSpec step(int count, Trait... traits) {
+        Set<Trait> set = EnumSet.noneOf(Trait.class);
+        set.addAll(List.of(traits));
+        return new StepSpec(count, NEED, 1_000, List.of(), set, PlacementRule.ANY, Serving.NONE);
+    }
+
+    static StepSpec after(StepSpec step, int... before) {
+        List<Integer> numbers = new ArrayList<>();
+        for (int number : before) {
+            numbers.add(number);
+        }
+        return new StepSpec(
+                step.count(), step.need(), step.estimateMs(), numbers, step.traits(), step.placement(), step.serving());
+    }
+
+    static JobRequest job(String id, StepSpec... steps) {
+        return new JobRequest(id, "matches", "pad-desk", "payload", List.of(steps), Timetable.AT_ONCE, 0);
+    }
+
+    static QueueCatalogue catalogue(int attempts) {
+        return new QueueCatalogue(
+                1, List.of(new QueuePolicy("matches", "host", "/matches/", "pad-desk", 0, attempts, 2.0, 500, false)));
+    }
+
+    static RunnerEntry runner(String id) {
+        return runner(id, 1, false);
+    }
+
+    static RunnerEntry runner(String id, long bornMs, boolean draining) {
+        return new RunnerEntry(
+                id, "pad-desk", "10.0.0.1:80", "chima-a", draining, 2_000, CAPACITY, List.of("a", "r1"), bornMs);
+    }
+}
