--- a/core/src/main/java/org/pollensill/dispatch/Disturbance.java
+++ b/core/src/main/java/org/pollensill/dispatch/Disturbance.java
@@ -10,8 +10,8 @@
  */
 final class Disturbance {
 
-    /** Weight that a measurement keeps after another one of its image; some 700 measurements count. */
-    private static final double FADING = 0.9985;
+    /** Weight that a measurement keeps after another one of its image; some 3,300 measurements count. */
+    private static final double FADING = 0.9997;
 
     /** Pulls coefficients towards 0 until measurements outweigh it. */
     private static final double RIDGE = 0.03;
@@ -22,11 +22,11 @@
     /** Base that is assumed before anything was measured: a tail at 40% of its bound. */
     private static final double ASSUMED_BASE = Math.log(0.4);
 
-    /** Largest part of its bound that a tail may be expected to reach, at the peak of its own load. */
-    private static final double ALLOWED = Math.log(0.85);
-
-    /** How far the load of a task that serves lifts its tail above the base at its peak. */
-    private static final double OWN_SWING = 0.4;
+    /**
+     * Largest raise of a tail's logarithm that placements may add up to. At the peak of a serving task's own load, a tail
+     * rises several times as much as on average, which is what the coefficients show.
+     */
+    static final double MOST_RAISE = 0.15;
 
     /** Most images of each side that are told apart. */
     private static final int MOST_IMAGES = 48;
@@ -141,18 +141,6 @@
         return model == null || index == null ? 0 : model.coefficients[index] * share;
     }
 
-    /**
-     * Returns how much the tails of an image may be raised without coming near their bound.
-     *
-     * @param serving image of the task that serves
-     * @return the raise of the logarithm
-     */
-    double allowed(String serving) {
-        Model model = models.get(serving);
-        double base = model == null ? ASSUMED_BASE : model.coefficients[0];
-        return ALLOWED - OWN_SWING - base;
-    }
-
     /**
      * Returns how alike two serving images are, judged by what disturbs them.
      *
--- a/core/src/main/java/org/pollensill/dispatch/Placement.java
+++ b/core/src/main/java/org/pollensill/dispatch/Placement.java
@@ -100,7 +100,7 @@
             for (Map.Entry<String, Long> filling : runner.fillingImages.entrySet()) {
                 raise += disturbance.raise(serving, filling.getKey(), filling.getValue() / capacity);
             }
-            if (raise > disturbance.allowed(serving)) {
+            if (raise > Disturbance.MOST_RAISE) {
                 return true;
             }
         }
@@ -115,6 +115,16 @@
         return worst;
     }
 
+    /** Returns how much the tasks that fill on a runner would raise the tail of a task that serves. */
+    private double raiseBy(RunnerState runner, TaskState serving) {
+        double capacity = Math.max(1, runner.capacity().processorsMillicores());
+        double raise = 0;
+        for (Map.Entry<String, Long> filling : runner.fillingImages.entrySet()) {
+            raise += disturbance.raise(serving.image(), filling.getKey(), filling.getValue() / capacity);
+        }
+        return raise;
+    }
+
     /** Returns how alike a serving task and those on a runner are, judged by the least alike one. */
     private double likeness(TaskState task, RunnerState runner) {
         double least = runner.serving() > 0 ? 1 : EMPTY_LIKENESS;
@@ -133,8 +143,7 @@
             score += idle - DISTURBANCE_WEIGHT * raise(task, runner);
         } else if (spec.serving().targetTailMs() > 0) {
             double used = runner.counted.processorsMillicores() / capacity;
-            double filling = runner.fillingMillicores / capacity;
-            score += used + LIKENESS_WEIGHT * likeness(task, runner) - filling;
+            score += used + LIKENESS_WEIGHT * likeness(task, runner) - DISTURBANCE_WEIGHT * raiseBy(runner, task);
         } else {
             score += idle + (runner.serving() > 0 ? 1 : 0);
         }
