Try a runner again by one task although it still holds tasks that last

Cause: a runner that had failed three jobs in a row was tried again only when it held nothing; with a task that lasts it never was. Test fails before the change.

--- a/core/src/main/java/org/pollensill/dispatch/Placement.java
+++ b/core/src/main/java/org/pollensill/dispatch/Placement.java
@@ -69,7 +69,7 @@
             return false;
         }
         // A runner that fails everything is tried with one task at a time.
-        if (runner.failures >= RunnerHealth.FAILURES_TO_SET_ASIDE && !runner.tasks.isEmpty()) {
+        if (runner.onTrial()) {
             return false;
         }
         Resources after = runner.counted.plus(spec.counted());
--- a/core/src/main/java/org/pollensill/dispatch/RunnerHealth.java
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerHealth.java
@@ -6,6 +6,9 @@
     /** A runner is set aside after this many failures of different jobs in a row. */
     static final int FAILURES_TO_SET_ASIDE = 3;
 
+    /** A task that has worked this long shows that its runner is sound. */
+    private static final long TRIAL_MS = 2_000;
+
     private static final int MOST_DOUBLINGS = 4;
 
     private final DispatchListener listener;
@@ -17,6 +20,15 @@
     void done(RunnerState runner) {
         runner.failures = 0;
         runner.lastFailedJob = "";
+        runner.trial = null;
+    }
+
+    /** Trusts a runner again whose trial has worked for a while; a task that lasts never ends as done. */
+    void working(RunnerState runner, TaskState task, long nowMs) {
+        boolean moving = task.percent > 0 && nowMs - task.startedAtMs >= TRIAL_MS;
+        if (runner.trial == task && moving) {
+            done(runner);
+        }
     }
 
     /** Counts a failure; several tasks of one job count once, since the job itself may be at fault. */
--- a/core/src/main/java/org/pollensill/dispatch/RunnerState.java
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerState.java
@@ -59,6 +59,9 @@
     int failures;
     String lastFailedJob = "";
     long setAsideUntilMs;
+    /** The task by which a runner that failed everything is tried again, null where there is none. */
+    TaskState trial;
+
     long noRoomUntilMs;
 
     RunnerState(String id, long bornMs) {
@@ -121,6 +124,11 @@
                 && nowMs >= noRoomUntilMs;
     }
 
+    /** Returns whether the runner failed everything and a task that tries it again is still on its way. */
+    boolean onTrial() {
+        return failures >= RunnerHealth.FAILURES_TO_SET_ASIDE && trial != null && trial.runner == this;
+    }
+
     /** Returns the processors that neither counted tasks nor tasks that fill are expected to use. */
     long idleMillicores() {
         return capacity().processorsMillicores()
@@ -152,6 +160,7 @@
         durableEnd = 0;
         acknowledgedEnd = 0;
         failures = 0;
+        trial = null;
         setAsideUntilMs = 0;
         noRoomUntilMs = 0;
         nextHoldAtMs = 0;
--- a/core/src/main/java/org/pollensill/dispatch/TaskState.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskState.java
@@ -80,6 +80,9 @@
         progressAtMs = nowMs;
         runner = chosen;
         chosen.add(this);
+        if (chosen.failures >= RunnerHealth.FAILURES_TO_SET_ASIDE) {
+            chosen.trial = this;
+        }
     }
 
     /** Takes the task off its runner; it waits again unless it is done. */
--- a/core/src/main/java/org/pollensill/dispatch/Upkeep.java
+++ b/core/src/main/java/org/pollensill/dispatch/Upkeep.java
@@ -87,6 +87,7 @@
             reports.stop(task, Cause.DRAINING, nowMs);
             return;
         }
+        health.working(runner, task, nowMs);
         if (stalled(runner, task, nowMs)) {
             health.stalled(runner, nowMs);
             reports.stop(task, Cause.STALLED, nowMs);
--- a/core/src/test/java/org/pollensill/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/DispatcherTest.java
@@ -306,6 +306,52 @@
         }
     }
 
+    @Nested
+    class FailingRunners {
+
+        private long failOne(String job, long nowMs) {
+            dispatcher.addJob(Samples.job(job, Samples.step(1)), Optional.empty(), nowMs);
+            commit(nowMs);
+            RecordedOrders.Start start = orders.starts.remove(0);
+            dispatcher.onStart(
+                    start.order().task(),
+                    start.order().run(),
+                    "r1",
+                    new OrderAnswer(OrderOutcome.ACCEPTED, Optional.of(CLOCK + nowMs - T0)),
+                    nowMs);
+            RecordedOrders.Hold hold = nextHold(nowMs + 1);
+            ends++;
+            report(hold, nowMs + 2, lasting(), List.of(end(ends, start.order().task(), 1, EndKind.FAILED)));
+            dispatcher.cancel(job, nowMs + 2);
+            commit(nowMs + 3);
+            return nowMs + 10;
+        }
+
+        private long ends;
+        private TaskName lasting;
+
+        private List<RunnerReport.RunningTask> lasting() {
+            return List.of(new RunnerReport.RunningTask(lasting, 1, "", 100, 0));
+        }
+
+        @Test
+        void shouldTryARunnerAgainThatStillHoldsATaskThatLasts() {
+            lead("r1");
+            dispatcher.addJob(
+                    Samples.job("1111111111111111", Samples.step(1, Trait.RESTART_ALWAYS)), Optional.empty(), T0);
+            lasting = startOne(T0).order().task();
+            long nowMs = T0 + 10;
+            for (String job : List.of("aaaaaaaaaaaaaaaa", "bbbbbbbbbbbbbbbb", "cccccccccccccccc")) {
+                nowMs = failOne(job, nowMs);
+            }
+            dispatcher.addJob(Samples.job("dddddddddddddddd", Samples.step(2)), Optional.empty(), nowMs);
+            commit(nowMs);
+            assertTrue(orders.starts.isEmpty());
+            commit(nowMs + DispatchTiming.SET_ASIDE_MS);
+            assertEquals(1, orders.starts.size());
+        }
+    }
+
     @Nested
     class Leaving {
 
