--- a/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorEvent.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorEvent.java
@@ -38,6 +38,8 @@
     SUSPENDED(7018, Level.WARN, "process was suspended"),
     /** A stored row cannot be read and is left out. */
     ROW_UNREADABLE(7019, Level.WARN, "stored row unreadable"),
+    /** The rows of a job that ended long ago could not be deleted. */
+    EXPIRY_FAILED(7026, Level.WARN, "ended job not deleted"),
     /** A job was accepted. */
     JOB_ACCEPTED(7020, Level.INFO, "job accepted"),
     /** A job was refused. */
--- a/coordinator/src/main/java/org/pollensill/coordinator/Intake.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Intake.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -59,12 +60,17 @@
         }
     }
 
+    /** Jobs of one partition; at most one transaction of it is in flight. */
+    private static final class Lane {
+        private final Deque<Pending> waiting = new ArrayDeque<>();
+        private boolean inFlight;
+    }
+
     private final Loop loop;
     private final RowStore store;
     private final StoreHealth health;
     private final String commitPrefix;
-    private final Deque<Pending> waiting = new ArrayDeque<>();
-    private boolean inFlight;
+    private final Map<String, Lane> lanes = new HashMap<>();
     private long commits;
 
     Intake(Loop loop, RowStore store, StoreHealth health, String commitPrefix) {
@@ -83,21 +89,22 @@
      */
     CompletableFuture<Outcome> store(JobRequest job, long deadlineMs) {
         Pending pending = new Pending(job.id(), JobCodec.encode(job), deadlineMs);
-        waiting.add(pending);
-        send();
+        Lane lane = lanes.computeIfAbsent(Tables.intakePartition(job.id()), partition -> new Lane());
+        lane.waiting.add(pending);
+        send(lane);
         return pending.result;
     }
 
-    private void send() {
-        if (inFlight || waiting.isEmpty()) {
+    private void send(Lane lane) {
+        if (lane.inFlight || lane.waiting.isEmpty()) {
             return;
         }
         Map<String, Pending> batch = new LinkedHashMap<>();
         List<Condition> conditions = new ArrayList<>();
         List<Write> writes = new ArrayList<>();
         int bytes = 0;
-        while (!waiting.isEmpty() && batch.size() < MOST_JOBS) {
-            Pending next = waiting.peek();
+        while (!lane.waiting.isEmpty() && batch.size() < MOST_JOBS) {
+            Pending next = lane.waiting.peek();
             if (!batch.isEmpty() && bytes + next.value.length() > MOST_BYTES) {
                 break;
             }
@@ -106,27 +113,27 @@
                 // Two requests for one job; the second waits for the outcome of the first.
                 break;
             }
-            waiting.poll();
+            lane.waiting.poll();
             batch.put(key, next);
             conditions.add(Condition.absent(key));
             writes.add(Write.put(key, next.value));
             bytes += next.value.length();
         }
-        inFlight = true;
+        lane.inFlight = true;
         Commit commit = new Commit(commitPrefix + "-" + commits++, conditions, writes);
         health.watch(store.commit(commit)).whenComplete((outcome, failure) -> {
-            inFlight = false;
+            lane.inFlight = false;
             if (failure == null) {
-                answered(batch, outcome);
-                send();
+                answered(lane, batch, outcome);
+                send(lane);
                 return;
             }
-            failed(batch, PlatformException.effectOf(failure));
-            loop.after(RETRY_MS, this::send);
+            failed(lane, batch, PlatformException.effectOf(failure));
+            loop.after(RETRY_MS, () -> send(lane));
         });
     }
 
-    private void answered(Map<String, Pending> batch, CommitOutcome outcome) {
+    private void answered(Lane lane, Map<String, Pending> batch, CommitOutcome outcome) {
         if (outcome instanceof CommitOutcome.Conflicted conflict) {
             List<Pending> again = new ArrayList<>();
             for (Map.Entry<String, Pending> entry : batch.entrySet()) {
@@ -136,13 +143,13 @@
                     again.add(entry.getValue());
                 }
             }
-            putBack(again);
+            putBack(lane, again);
             return;
         }
         batch.values().forEach(pending -> pending.result.complete(Outcome.STORED));
     }
 
-    private void failed(Map<String, Pending> batch, PlatformException.Effect effect) {
+    private void failed(Lane lane, Map<String, Pending> batch, PlatformException.Effect effect) {
         List<Pending> again = new ArrayList<>();
         for (Pending pending : batch.values()) {
             pending.mayBeWritten |= effect == PlatformException.Effect.UNKNOWN;
@@ -155,12 +162,12 @@
                 again.add(pending);
             }
         }
-        putBack(again);
+        putBack(lane, again);
     }
 
-    private void putBack(List<Pending> again) {
+    private static void putBack(Lane lane, List<Pending> again) {
         for (int i = again.size() - 1; i >= 0; i--) {
-            waiting.addFirst(again.get(i));
+            lane.waiting.addFirst(again.get(i));
         }
     }
 }
--- a/coordinator/src/main/java/org/pollensill/coordinator/IntakeFeed.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/IntakeFeed.java
@@ -18,6 +18,7 @@
     private final RowStore store;
     private final StoreHealth health;
     private final Consumer<List<Row>> listener;
+    private final List<String> partitions = Tables.intakePartitions();
     private boolean stopped;
 
     IntakeFeed(Loop loop, RowStore store, StoreHealth health, Consumer<List<Row>> listener) {
@@ -28,31 +29,35 @@
     }
 
     void start() {
-        readAll("", Long.MAX_VALUE, new ArrayList<>());
+        readAll(0, "", Long.MAX_VALUE, new ArrayList<>());
     }
 
     void stop() {
         stopped = true;
     }
 
-    /** Reads all pages; the feed continues from the version of the first one, which precedes all others. */
-    private void readAll(String after, long firstVersion, List<Row> rows) {
+    /** Reads all partitions; the feed continues from the version of the first page, which precedes all others. */
+    private void readAll(int partition, String after, long firstVersion, List<Row> rows) {
         if (stopped) {
             return;
         }
-        health.watch(store.page(Tables.INTAKE, after, PAGE)).whenComplete((page, failure) -> {
+        health.watch(store.page(partitions.get(partition), after, PAGE)).whenComplete((page, failure) -> {
             if (stopped) {
                 return;
             }
             if (failure != null) {
-                loop.after(RETRY_MS, () -> readAll(after, firstVersion, rows));
+                loop.after(RETRY_MS, () -> readAll(partition, after, firstVersion, rows));
                 return;
             }
             rows.addAll(page.rows());
             long version = Math.min(firstVersion, page.version());
             if (page.truncated() && !page.rows().isEmpty()) {
                 String last = page.rows().get(page.rows().size() - 1).key();
-                readAll(last.substring(last.indexOf('/') + 1), version, rows);
+                readAll(partition, last.substring(last.indexOf('/') + 1), version, rows);
+                return;
+            }
+            if (partition + 1 < partitions.size()) {
+                readAll(partition + 1, "", version, rows);
                 return;
             }
             listener.accept(rows);
--- a/coordinator/src/main/java/org/pollensill/coordinator/JobStates.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/JobStates.java
@@ -45,7 +45,7 @@
         for (Row row : rows) {
             if (Tables.isCancel(row.key())) {
                 cancelled = true;
-            } else if (row.key().startsWith(Tables.INTAKE + "/")) {
+            } else if (row.key().startsWith(Tables.INTAKE)) {
                 known = true;
             } else {
                 recorded = recorded(row);
--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
@@ -14,6 +14,7 @@
 import org.pollensill.job.JobStatus;
 import org.pollensill.json.JsonSyntaxException;
 import org.pollensill.leader.CommitChain;
+import org.pollensill.platform.Commit;
 import org.pollensill.platform.Row;
 import org.pollensill.platform.RowStore;
 import org.pollensill.platform.Write;
@@ -288,12 +289,19 @@
         });
     }
 
+    /** Deletes what is stored of jobs that ended long ago: here their progress, their own rows by calls of their own. */
     private List<Write> expired(long nowMs) {
         List<Write> deletes = new ArrayList<>();
         for (String id : dispatcher.takeExpired(nowMs - settings.keepEndedMs(), EXPIRED_JOBS_AT_ONCE)) {
-            deletes.add(Write.delete(Tables.jobKey(id)));
-            deletes.add(Write.delete(Tables.cancelKey(id)));
             deletes.add(Write.delete(Tables.progressKey(id)));
+            List<Write> rows = List.of(Write.delete(Tables.jobKey(id)), Write.delete(Tables.cancelKey(id)));
+            health.watch(store.commit(new Commit("expired-" + id, List.of(), rows)))
+                    .whenComplete((outcome, failure) -> {
+                        if (failure != null) {
+                            // The row stays until the next leader loads it and finds the job ended.
+                            LOG.log(CoordinatorEvent.EXPIRY_FAILED, "job", id, "problem", failure.getMessage());
+                        }
+                    });
         }
         return deletes;
     }
--- a/coordinator/src/main/java/org/pollensill/coordinator/Members.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Members.java
@@ -25,7 +25,7 @@
 final class Members {
 
     private static final EventLog LOG = EventLog.of(Members.class);
-    private static final String TABLE = "members";
+    private static final String TABLE = "members@all";
     private static final int PAGE = 500;
     private static final long REFRESH_MS = 4_000;
     private static final long RETRY_MS = 500;
--- a/coordinator/src/main/java/org/pollensill/coordinator/StorePath.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/StorePath.java
@@ -22,8 +22,13 @@
 
     private static final EventLog LOG = EventLog.of(StorePath.class);
 
-    /** Failures in a row after which calls take the way through a peer. */
-    private static final int FAILURES_TO_RELAY = 2;
+    /** Points of failures in a row after which calls take the way through a peer. */
+    private static final int FAILURES_TO_RELAY = 4;
+
+    private static final int FAILURE_POINTS = 2;
+
+    /** Points of a 429, which is a limit of the whole store more often than one of this machine. */
+    private static final int LIMITED_POINTS = 1;
 
     /** While calls are relayed, the direct way is tried this often. */
     private static final long PROBE_MS = 400;
@@ -64,16 +69,20 @@
 
     private CompletableFuture<Answer> sendDirect(Request request, long timeoutMs) {
         CompletableFuture<Answer> answer = direct.send(store, request, timeoutMs);
-        answer.whenComplete((reply, failure) -> note(failure == null && !turnsAway(reply.status())));
+        answer.whenComplete((reply, failure) -> note(failure == null ? points(reply.status()) : FAILURE_POINTS));
         return answer;
     }
 
-    private static boolean turnsAway(int status) {
-        return status == 503 || status == 429;
+    private static int points(int status) {
+        if (status == 429) {
+            return LIMITED_POINTS;
+        }
+        return status == 503 ? FAILURE_POINTS : 0;
     }
 
-    private void note(boolean answered) {
-        failures = answered ? 0 : failures + 1;
+    private void note(int points) {
+        boolean answered = points == 0;
+        failures = answered ? 0 : failures + points;
         if (answered && relaying) {
             relaying = false;
             LOG.log(CoordinatorEvent.STORE_DIRECT);
--- a/coordinator/src/main/java/org/pollensill/coordinator/Tables.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Tables.java
@@ -1,5 +1,8 @@
 package org.pollensill.coordinator;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /** Names of this system's tables and keys in the platform's store. */
 final class Tables {
 
@@ -16,12 +19,26 @@
 
     private Tables() {}
 
+    /** Returns the partitions of the accepted jobs; a part takes its transactions one after the other. */
+    static List<String> intakePartitions() {
+        List<String> partitions = new ArrayList<>();
+        for (char digit : "0123456789abcdef".toCharArray()) {
+            partitions.add(INTAKE + "@" + digit);
+        }
+        return partitions;
+    }
+
+    /** Returns the partition of a job: by the first digit of its identity, so that any coordinator finds it. */
+    static String intakePartition(String id) {
+        return INTAKE + "@" + Character.toLowerCase(id.charAt(0));
+    }
+
     static String jobKey(String id) {
-        return INTAKE + "/" + id;
+        return intakePartition(id) + "/" + id;
     }
 
     static String cancelKey(String id) {
-        return INTAKE + "/" + id + CANCEL_SUFFIX;
+        return jobKey(id) + CANCEL_SUFFIX;
     }
 
     static String progressKey(String id) {
--- a/core/src/main/java/org/pollensill/platform/RowStore.java
+++ b/core/src/main/java/org/pollensill/platform/RowStore.java
@@ -5,8 +5,8 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * A table service whose rows lie in tables and can be followed. A key is {@code table/name}. Failed calls end with a
- * {@link PlatformException}.
+ * A table service whose rows lie in tables and can be followed. A key is {@code table/name} or
+ * {@code table@part/name}; a commit writes rows of one part only. Failed calls end with a {@link PlatformException}.
  */
 public interface RowStore extends TableService {
 
@@ -69,7 +69,7 @@
     /**
      * Reads rows of a table.
      *
-     * @param table the table
+     * @param table the table, with a part where its rows lie in one
      * @param after only names after this one; empty for all
      * @param limit the most rows to return
      * @return the rows
@@ -77,7 +77,7 @@
     CompletableFuture<Page> page(String table, String after, int limit);
 
     /**
-     * Waits for changes of a table.
+     * Waits for changes of a table, in all of its parts.
      *
      * @param table the table
      * @param version only changes after this version
