--- a/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
@@ -41,9 +41,6 @@
     /** Longest time of an order to a runner in another region, with a second packet after a loss. */
     private static final long ORDER_TIMEOUT_MS = 700;
 
-    /** Time after which the balancer sends no new connections: two checks, one a second, and their slack. */
-    private static final long ROTATION_MS = 2_200;
-
     /** Connections to one runner or to the store; the users' runners take 64 from all coordinators. */
     private static final ClientLimits CLIENT = new ClientLimits(12, 2_048, 800, 60_000, 8 << 20);
 
@@ -175,22 +172,27 @@
             }
             stopping = true;
             LOG.log(RuntimeEvent.STOPPING, "machine", settings.name());
-            leadership.stop(() -> {
-                peerServer.get().announceRelease(incarnation);
-                // Clients come until the balancer has seen the readiness check fail twice.
-                loop.after(ROTATION_MS, () -> finishRequests(stopped));
+            new ShutdownSequence(loop::after, this::releaseLease, this::finishRequests).run(() -> {
+                LOG.log(RuntimeEvent.STOPPED, "machine", settings.name());
+                stopped.run();
             });
         });
     }
 
-    private void finishRequests(Runnable stopped) {
-        clients.get().stop().thenRun(() -> {
-            config.stop();
-            members.stop();
-            peerServer.get().close();
-            client.close();
-            LOG.log(RuntimeEvent.STOPPED, "machine", settings.name());
-            stopped.run();
+    private void releaseLease(Runnable released) {
+        leadership.stop(() -> {
+            peerServer.get().announceRelease(incarnation);
+            released.run();
         });
     }
+
+    private void finishRequests(Runnable finished) {
+        clients.get()
+                .stop()
+                .thenRun(() -> loop.run(() -> {
+                    config.stop();
+                    members.stop();
+                    finished.run();
+                }));
+    }
 }
