--- a/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
@@ -266,14 +266,14 @@
                 runner.listed = false;
                 return;
             case NO_ROOM:
-                runner.noRoomUntilMs = nowMs + DispatchTiming.NO_ROOM_MS;
+                runner.noRoomEndMs = nowMs + DispatchTiming.NO_ROOM_MS;
                 break;
             case UNHEALTHY:
                 health.failed(runner, name.jobId(), nowMs);
-                runner.noRoomUntilMs = nowMs + DispatchTiming.NO_ROOM_MS;
+                runner.noRoomEndMs = nowMs + DispatchTiming.NO_ROOM_MS;
                 break;
             default:
-                runner.noRoomUntilMs = nowMs + DispatchTiming.RETRY_MS;
+                runner.noRoomEndMs = nowMs + DispatchTiming.RETRY_MS;
                 break;
         }
         if (task.startAttempts > 1) {
--- a/core/src/main/java/org/pollensill/dispatch/RunnerHealth.java
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerHealth.java
@@ -43,14 +43,14 @@
         }
         int doublings = Math.min(MOST_DOUBLINGS, runner.failures - FAILURES_TO_SET_ASIDE);
         long forMs = Math.min(DispatchTiming.SET_ASIDE_MOST_MS, DispatchTiming.SET_ASIDE_MS << doublings);
-        runner.setAsideUntilMs = nowMs + forMs;
+        runner.setAsideEndMs = nowMs + forMs;
         listener.setAside(runner.id, runner.failures, forMs);
     }
 
     /** Counts a run that stood still, which only the runner can be blamed for. */
     void stalled(RunnerState runner, long nowMs) {
         runner.failures = Math.max(runner.failures + 1, FAILURES_TO_SET_ASIDE);
-        runner.setAsideUntilMs = nowMs + DispatchTiming.SET_ASIDE_MOST_MS / 2;
+        runner.setAsideEndMs = nowMs + DispatchTiming.SET_ASIDE_MOST_MS / 2;
         listener.setAside(runner.id, runner.failures, DispatchTiming.SET_ASIDE_MOST_MS / 2);
     }
 }
--- a/core/src/main/java/org/pollensill/dispatch/RunnerState.java
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerState.java
@@ -42,7 +42,7 @@
 
     Optional<RunnerClock> clock = Optional.empty();
     /** Latest end of a lease that this runner may have been granted, on its own clock. */
-    long leaseUntilMs;
+    long leaseEndMs;
 
     /** Local time at which leases granted by former leaders have surely expired. */
     long inheritedLapseAtMs;
@@ -58,11 +58,11 @@
 
     int failures;
     String lastFailedJob = "";
-    long setAsideUntilMs;
+    long setAsideEndMs;
     /** The task by which a runner that failed everything is tried again, null where there is none. */
     TaskState trial;
 
-    long noRoomUntilMs;
+    long noRoomEndMs;
 
     RunnerState(String id, long bornMs) {
         this.id = Objects.requireNonNull(id, "id is null");
@@ -116,12 +116,7 @@
     }
 
     boolean accepts(long nowMs) {
-        return listed
-                && fenced
-                && silentHolds == 0
-                && !draining()
-                && nowMs >= setAsideUntilMs
-                && nowMs >= noRoomUntilMs;
+        return listed && fenced && silentHolds == 0 && !draining() && nowMs >= setAsideEndMs && nowMs >= noRoomEndMs;
     }
 
     /** Returns whether the runner failed everything and a task that tries it again is still on its way. */
@@ -142,11 +137,11 @@
         if (!fenced || clock.isEmpty()) {
             return inheritedLapseAtMs;
         }
-        return clock.get().surelyPassedAtMs(leaseUntilMs) + DispatchTiming.MARGIN_MS;
+        return clock.get().surelyPassedAtMs(leaseEndMs) + DispatchTiming.MARGIN_MS;
     }
 
     void grantUntil(long untilMs) {
-        leaseUntilMs = Math.max(leaseUntilMs, untilMs);
+        leaseEndMs = Math.max(leaseEndMs, untilMs);
     }
 
     /** Forgets what belonged to the runner's former life. Its tasks must have been released. */
@@ -154,15 +149,15 @@
         bornMs = newBornMs;
         fenced = false;
         clock = Optional.empty();
-        leaseUntilMs = 0;
+        leaseEndMs = 0;
         inheritedLapseAtMs = 0;
         seenEnd = 0;
         durableEnd = 0;
         acknowledgedEnd = 0;
         failures = 0;
         trial = null;
-        setAsideUntilMs = 0;
-        noRoomUntilMs = 0;
+        setAsideEndMs = 0;
+        noRoomEndMs = 0;
         nextHoldAtMs = 0;
         silentHolds = 0;
     }
--- a/core/src/main/java/org/pollensill/runner/HoldOrder.java
+++ b/core/src/main/java/org/pollensill/runner/HoldOrder.java
@@ -6,19 +6,19 @@
 /**
  * Order to keep running what runs, and to report.
  *
- * @param leaseUntilMs new end of the lease on the runner's clock, empty where it stays
+ * @param leaseEndMs new end of the lease on the runner's clock, empty where it stays
  * @param fence the fencing token
  * @param acknowledged number of the last end that is durable
  * @param waitMs longest time that the report may wait for an end
  */
-public record HoldOrder(Optional<Long> leaseUntilMs, long fence, long acknowledged, long waitMs) {
+public record HoldOrder(Optional<Long> leaseEndMs, long fence, long acknowledged, long waitMs) {
 
     /**
      * Creates an order.
      *
-     * @throws NullPointerException if {@code leaseUntilMs} is null
+     * @throws NullPointerException if {@code leaseEndMs} is null
      */
     public HoldOrder {
-        Objects.requireNonNull(leaseUntilMs, "leaseUntilMs is null");
+        Objects.requireNonNull(leaseEndMs, "leaseEndMs is null");
     }
 }
--- a/core/src/main/java/org/pollensill/runner/StartOrder.java
+++ b/core/src/main/java/org/pollensill/runner/StartOrder.java
@@ -11,7 +11,7 @@
  * @param task the task
  * @param run number of this start
  * @param payload text for the task
- * @param leaseUntilMs end of the lease on the runner's clock
+ * @param leaseEndMs end of the lease on the runner's clock
  * @param fence the fencing token
  * @param checkpoint progress to resume from, empty for none
  * @param ticket permission of the queue's policy
@@ -20,7 +20,7 @@
         TaskName task,
         int run,
         String payload,
-        long leaseUntilMs,
+        long leaseEndMs,
         long fence,
         String checkpoint,
         Optional<String> ticket) {
--- a/core/src/test/java/org/pollensill/dispatch/SimulatedLeader.java
+++ b/core/src/test/java/org/pollensill/dispatch/SimulatedLeader.java
@@ -33,7 +33,7 @@
     private boolean waiting;
     private long confirmedMs;
     boolean deposed;
-    long pausedUntilMs;
+    long pauseEndMs;
 
     private SimulatedLeader(SimulatedWorld world, CommitChain chain, long formerUnconfirmedMs) {
         this.world = world;
@@ -71,7 +71,7 @@
     }
 
     boolean active() {
-        return !deposed && world.nowMs() >= pausedUntilMs;
+        return !deposed && world.nowMs() >= pauseEndMs;
     }
 
     void step(List<RunnerEntry> listed) {
@@ -101,8 +101,8 @@
         if (deposed) {
             return;
         }
-        if (world.nowMs() < pausedUntilMs) {
-            world.after(pausedUntilMs - world.nowMs(), () -> whenActive(action));
+        if (world.nowMs() < pauseEndMs) {
+            world.after(pauseEndMs - world.nowMs(), () -> whenActive(action));
             return;
         }
         action.run();
--- a/core/src/test/java/org/pollensill/dispatch/SimulatedRunner.java
+++ b/core/src/test/java/org/pollensill/dispatch/SimulatedRunner.java
@@ -42,7 +42,7 @@
     private final Map<TaskName, Integer> highestRun = new HashMap<>();
     private final List<End> ended = new ArrayList<>();
     private long fence;
-    private long leaseUntilMs;
+    private long leaseEndMs;
     private long lapses;
     private long nextEnd = 1;
     private long bornAtMs;
@@ -61,9 +61,9 @@
     /** Lets time pass: work ends, an expired lease kills everything. */
     void advance(long nowMs) {
         // A lease expires whether or not something still runs; ends from before are not taken note of later.
-        if (leaseUntilMs > 0 && clock(nowMs) > leaseUntilMs) {
+        if (leaseEndMs > 0 && clock(nowMs) > leaseEndMs) {
             lapses++;
-            leaseUntilMs = 0;
+            leaseEndMs = 0;
             for (Map.Entry<TaskName, Running> entry : new HashMap<>(running).entrySet()) {
                 end(entry.getKey(), entry.getValue().run(), EndKind.LAPSED);
             }
@@ -87,7 +87,7 @@
         highestRun.clear();
         ended.clear();
         fence = 0;
-        leaseUntilMs = 0;
+        leaseEndMs = 0;
         nextEnd = 1;
         bornMs++;
         bornAtMs = nowMs;
@@ -104,10 +104,10 @@
         if (present != null && present.run() == order.run()) {
             return new OrderAnswer(OrderOutcome.ACCEPTED, clockMs);
         }
-        if (order.leaseUntilMs() <= clock(nowMs)) {
+        if (order.leaseEndMs() <= clock(nowMs)) {
             return new OrderAnswer(OrderOutcome.LATE, clockMs);
         }
-        leaseUntilMs = Math.max(leaseUntilMs, order.leaseUntilMs());
+        leaseEndMs = Math.max(leaseEndMs, order.leaseEndMs());
         if (present != null || highestRun.getOrDefault(order.task(), 0) >= order.run()) {
             return new OrderAnswer(OrderOutcome.OLD_RUN, clockMs);
         }
@@ -137,7 +137,7 @@
             return new HoldAnswer(OrderOutcome.FENCED, Optional.empty());
         }
         fence = order.fence();
-        order.leaseUntilMs().ifPresent(untilMs -> leaseUntilMs = Math.max(leaseUntilMs, untilMs));
+        order.leaseEndMs().ifPresent(untilMs -> leaseEndMs = Math.max(leaseEndMs, untilMs));
         for (End end : List.copyOf(ended)) {
             if (end.row().number() <= order.acknowledged()) {
                 ended.remove(end);
--- a/core/src/test/java/org/pollensill/dispatch/TakeoverPropertyTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/TakeoverPropertyTest.java
@@ -44,7 +44,7 @@
         }
         world.setLossShare(0);
         world.heal();
-        leaders.forEach(leader -> leader.pausedUntilMs = 0);
+        leaders.forEach(leader -> leader.pauseEndMs = 0);
         long endMs = world.nowMs() + QUIET_MS;
         while (world.nowMs() < endMs && !newest().allDone(jobs)) {
             advance(world);
@@ -70,7 +70,7 @@
         if (dice < 5) {
             leaders.add(SimulatedLeader.takeOver(world, "c" + leaders.size() + "-", jobs));
         } else if (dice < 12) {
-            newest().pausedUntilMs = world.nowMs() + world.random().nextInt(6_000);
+            newest().pauseEndMs = world.nowMs() + world.random().nextInt(6_000);
         } else if (dice < 20) {
             world.cut(runner);
         } else if (dice < 30) {
--- /dev/null
+++ b/core/src/test/java/org/pollensill/leader/LeaderWatchTest.java
@@ -0,0 +1,88 @@
+package org.pollensill.leader;
+
+import java.util.Map;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class LeaderWatchTest {
+
+    private static final long LAPSE_MS = 2_000;
+
+    private final LeaderWatch watch = LeaderWatch.of(LAPSE_MS);
+
+    private static Optional<LeaderRow> row(boolean released) {
+        return Optional.of(new LeaderRow("a", "a-1", "10.0.0.1:7000", 5, 1, released, Map.of()));
+    }
+
+    @Nested
+    class Campaigns {
+
+        @Test
+        void shouldNotCampaignBeforeTheRowWasRead() {
+            assertFalse(watch.shouldCampaign(1_000_000, 0));
+        }
+
+        @Test
+        void shouldCampaignWhenTheRowHasNotChangedForTheLapse() {
+            watch.onRow(row(false), 7, 1_000);
+            watch.onRow(row(false), 7, 2_900);
+            assertFalse(watch.shouldCampaign(2_999, 0));
+            assertTrue(watch.shouldCampaign(3_000, 0));
+        }
+
+        @Test
+        void shouldWaitAgainWhenTheRowChanges() {
+            watch.onRow(row(false), 7, 1_000);
+            watch.onRow(row(false), 8, 2_900);
+            assertFalse(watch.shouldCampaign(3_000, 0));
+        }
+
+        @Test
+        void shouldCampaignAtOnceWhenTheLeaseIsReleased() {
+            watch.onRow(row(true), 7, 1_000);
+            assertTrue(watch.shouldCampaign(1_000, 0));
+            assertFalse(watch.shouldCampaign(1_000, 50));
+        }
+
+        @Test
+        void shouldCampaignWhenTheLeadersProcessRefusesConnections() {
+            watch.onRow(row(false), 7, 1_000);
+            watch.onLeaderGone("a-1", false);
+            assertTrue(watch.shouldCampaign(1_100, 50));
+        }
+
+        @Test
+        void shouldIgnoreAnOlderReading() {
+            watch.onRow(row(false), 8, 1_000);
+            watch.onRow(Optional.empty(), 7, 1_100);
+            assertFalse(watch.vacant());
+        }
+    }
+
+    @Nested
+    class FormerLeader {
+
+        @Test
+        void shouldNotTakeARefusedConnectionForAProofOfItsEnd() {
+            watch.onRow(row(false), 7, 1_000);
+            watch.onLeaderGone("a-1", false);
+            assertFalse(watch.formerSilent());
+            watch.onLeaderGone("a-1", true);
+            assertTrue(watch.formerSilent());
+        }
+
+        @Test
+        void shouldForgetTheProofWhenAnotherLeaderAppears() {
+            watch.onRow(row(false), 7, 1_000);
+            watch.onLeaderGone("a-1", true);
+            watch.onRow(Optional.of(new LeaderRow("b", "b-1", "", 6, 1, false, Map.of())), 9, 1_200);
+            assertFalse(watch.formerSilent());
+            assertFalse(watch.vacant());
+        }
+    }
+}
