--- a/coordinator/src/main/java/org/pollensill/coordinator/Committer.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Committer.java
@@ -42,19 +42,12 @@
     private boolean confirmationWanted;
     private boolean stopped;
 
-    Committer(
-            Loop loop,
-            RowStore store,
-            StoreHealth health,
-            CommitChain chain,
-            CoordinatorMetrics metrics,
-            Runnable onDeposed,
-            Runnable whenIdle) {
-        this.loop = loop;
-        this.store = store;
-        this.health = health;
+    Committer(CoordinatorContext context, CommitChain chain, Runnable onDeposed, Runnable whenIdle) {
+        this.loop = context.loop();
+        this.store = context.store();
+        this.health = context.health();
         this.chain = chain;
-        this.metrics = metrics;
+        this.metrics = context.metrics();
         this.onDeposed = onDeposed;
         this.whenIdle = whenIdle;
         this.beganMs = loop.nowMs();
--- a/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
@@ -76,17 +76,16 @@
         RowStore store = HttpRowStore.of(path, settings.storeAddress(), STORE_TIMEOUT_MS);
         RunnerService runners = HttpRunnerService.of(client::send, ORDER_TIMEOUT_MS);
         CoordinatorMetrics metrics = new CoordinatorMetrics(PrometheusRegistry.defaultRegistry);
+        CoordinatorContext context = new CoordinatorContext(loop, store, health, runners, settings, metrics);
         this.config = new ConfigFollower(loop, store, health, catalogue -> {
             metrics.configuration(catalogue.version());
             applyCatalogue(catalogue);
         });
-        this.leadership = new Leadership(
-                loop, store, health, settings, metrics, runners, incarnation, config::current, peers::follow);
+        this.leadership = new Leadership(context, incarnation, config::current, peers::follow);
         this.members = new Members(loop, store, health, settings, peers::update);
         Intake intake = new Intake(loop, store, health, incarnation);
         JobStates states = new JobStates(store, health);
-        this.endpoint =
-                new JobEndpoint(loop, store, health, config, leadership, peers, intake, states, metrics, settings);
+        this.endpoint = new JobEndpoint(context, config, leadership, peers, intake, states);
     }
 
     private void applyCatalogue(QueueCatalogue catalogue) {
--- /dev/null
+++ b/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorContext.java
@@ -0,0 +1,39 @@
+package org.pollensill.coordinator;
+
+import java.util.Objects;
+
+import org.pollensill.platform.RowStore;
+import org.pollensill.runner.RunnerService;
+
+/**
+ * What the parts of a coordinator share.
+ *
+ * @param loop the event loop
+ * @param store the platform's store
+ * @param health whether the store answers
+ * @param runners takes orders to runners
+ * @param settings the settings
+ * @param metrics counters and histograms
+ */
+record CoordinatorContext(
+        Loop loop,
+        RowStore store,
+        StoreHealth health,
+        RunnerService runners,
+        CoordinatorSettings settings,
+        CoordinatorMetrics metrics) {
+
+    /**
+     * Creates the context.
+     *
+     * @throws NullPointerException if an argument is null
+     */
+    CoordinatorContext {
+        Objects.requireNonNull(loop, "loop is null");
+        Objects.requireNonNull(store, "store is null");
+        Objects.requireNonNull(health, "health is null");
+        Objects.requireNonNull(runners, "runners is null");
+        Objects.requireNonNull(settings, "settings is null");
+        Objects.requireNonNull(metrics, "metrics is null");
+    }
+}
--- a/coordinator/src/main/java/org/pollensill/coordinator/JobEndpoint.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/JobEndpoint.java
@@ -47,26 +47,22 @@
     private final CoordinatorSettings settings;
 
     JobEndpoint(
-            Loop loop,
-            RowStore store,
-            StoreHealth health,
+            CoordinatorContext context,
             ConfigFollower config,
             Leadership leadership,
             Peers peers,
             Intake intake,
-            JobStates states,
-            CoordinatorMetrics metrics,
-            CoordinatorSettings settings) {
-        this.loop = loop;
-        this.store = store;
-        this.health = health;
+            JobStates states) {
+        this.loop = context.loop();
+        this.store = context.store();
+        this.health = context.health();
         this.config = config;
         this.leadership = leadership;
         this.peers = peers;
         this.intake = intake;
         this.states = states;
-        this.metrics = metrics;
-        this.settings = settings;
+        this.metrics = context.metrics();
+        this.settings = context.settings();
     }
 
     @Override
--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
@@ -20,7 +20,6 @@
 import org.pollensill.platform.Write;
 import org.pollensill.queue.QueueCatalogue;
 import org.pollensill.runner.RunnerEntry;
-import org.pollensill.runner.RunnerService;
 import org.pollensill.runtime.event.EventLog;
 
 /** What a coordinator does while it leads: loads the state, feeds the dispatcher and commits its decisions. */
@@ -61,30 +60,21 @@
     private boolean releasing;
     private final long tookOverAtMs;
 
-    LeaderSession(
-            Loop loop,
-            RowStore store,
-            StoreHealth health,
-            CoordinatorSettings settings,
-            CoordinatorMetrics metrics,
-            RunnerService runners,
-            CommitChain chain,
-            long formerUnconfirmedMs,
-            Runnable onDeposed) {
-        this.loop = loop;
-        this.store = store;
-        this.health = health;
-        this.settings = settings;
+    LeaderSession(CoordinatorContext context, CommitChain chain, long formerUnconfirmedMs, Runnable onDeposed) {
+        this.loop = context.loop();
+        this.store = context.store();
+        this.health = context.health();
+        this.settings = context.settings();
         this.tookOverAtMs = loop.nowMs();
-        this.committer = new Committer(loop, store, health, chain, metrics, onDeposed, this::pump);
-        this.orders = new OrderSender(loop, runners, chain.row().fence(), this::pump);
+        this.committer = new Committer(context, chain, onDeposed, this::pump);
+        this.orders = new OrderSender(loop, context.runners(), chain.row().fence(), this::pump);
         this.dispatcher = Dispatcher.takeOver(
                 chain.row().fence(),
                 loop.nowMs(),
                 formerUnconfirmedMs,
                 Tables.PROGRESS + "/",
                 orders,
-                new DecisionLog(metrics, committer::confirmSoon));
+                new DecisionLog(context.metrics(), committer::confirmSoon));
         this.orders.attach(dispatcher);
         this.intake = new IntakeFeed(loop, store, health, this::onIntake);
     }
--- a/coordinator/src/main/java/org/pollensill/coordinator/Leadership.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Leadership.java
@@ -16,7 +16,6 @@
 import org.pollensill.platform.Row;
 import org.pollensill.platform.RowStore;
 import org.pollensill.queue.QueueCatalogue;
-import org.pollensill.runner.RunnerService;
 import org.pollensill.runtime.event.EventLog;
 import org.pollensill.runtime.net.Addresses;
 
@@ -41,7 +40,7 @@
     private final StoreHealth health;
     private final CoordinatorSettings settings;
     private final CoordinatorMetrics metrics;
-    private final RunnerService runners;
+    private final CoordinatorContext context;
     private final String incarnation;
     private final LeaderWatch watch = LeaderWatch.of(LAPSE_MS);
     private final ConfigSource config;
@@ -59,21 +58,16 @@
     }
 
     Leadership(
-            Loop loop,
-            RowStore store,
-            StoreHealth health,
-            CoordinatorSettings settings,
-            CoordinatorMetrics metrics,
-            RunnerService runners,
+            CoordinatorContext context,
             String incarnation,
             ConfigSource config,
             Consumer<Optional<LeaderRow>> onLeader) {
-        this.loop = Objects.requireNonNull(loop, "loop is null");
-        this.store = store;
-        this.health = health;
-        this.settings = settings;
-        this.metrics = metrics;
-        this.runners = runners;
+        this.context = Objects.requireNonNull(context, "context is null");
+        this.loop = context.loop();
+        this.store = context.store();
+        this.health = context.health();
+        this.settings = context.settings();
+        this.metrics = context.metrics();
         this.incarnation = incarnation;
         this.config = config;
         this.onLeader = onLeader;
@@ -236,16 +230,8 @@
         onLeader.accept(Optional.empty());
         LOG.log(CoordinatorEvent.LEADING, "fence", chain.row().fence(), "formerSilent", formerSilent);
         metrics.leading(true);
-        LeaderSession leading = new LeaderSession(
-                loop,
-                store,
-                health,
-                settings,
-                metrics,
-                runners,
-                chain,
-                formerSilent ? 0 : Dispatcher.unconfirmedHoldMs(),
-                this::deposed);
+        LeaderSession leading =
+                new LeaderSession(context, chain, formerSilent ? 0 : Dispatcher.unconfirmedHoldMs(), this::deposed);
         session = Optional.of(leading);
         if (stopping) {
             leading.release(() -> session = Optional.empty());
--- a/coordinator/src/main/java/org/pollensill/coordinator/StoreHealth.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/StoreHealth.java
@@ -17,7 +17,6 @@
 
     private final Loop loop;
     private int failures;
-    private long lastAnswerMs;
     private boolean lost;
     private double roundTripMs = 5;
 
@@ -40,7 +39,6 @@
 
     private void answered(long tookMs) {
         failures = 0;
-        lastAnswerMs = loop.nowMs();
         roundTripMs = roundTripMs * 0.8 + tookMs * 0.2;
         if (lost) {
             lost = false;
@@ -63,10 +61,6 @@
         return !lost;
     }
 
-    long lastAnswerMs() {
-        return lastAnswerMs;
-    }
-
     /** Returns the smoothed time of a call. */
     long roundTripMs() {
         return Math.max(1, (long) roundTripMs);
--- a/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
@@ -6,7 +6,6 @@
 import java.util.Objects;
 import java.util.Optional;
 
-import org.pollensill.dispatch.DispatchListener.Cause;
 import org.pollensill.job.JobRecord;
 import org.pollensill.job.JobRequest;
 import org.pollensill.job.JobStatus;
@@ -15,10 +14,8 @@
 import org.pollensill.runner.HoldAnswer;
 import org.pollensill.runner.OrderAnswer;
 import org.pollensill.runner.OrderOutcome;
-import org.pollensill.runner.RunnerAddress;
 import org.pollensill.runner.RunnerClock;
 import org.pollensill.runner.RunnerEntry;
-import org.pollensill.runner.StartOrder;
 
 /**
  * The leader's decisions. A placement is recorded before its start is sent, an end is acknowledged after it is
@@ -26,17 +23,12 @@
  */
 public final class Dispatcher {
 
-    /** A start without an answer is repeated this often before the run is stopped; repeating it is harmless. */
-    private static final int START_ATTEMPTS = 3;
-
-    private final long fence;
-    private final Orders orders;
     private final DispatchListener listener;
     private final Fleet fleet;
     private final Recorder recorder;
     private final JobTable jobs;
-    private final RunnerHealth health;
     private final Reports reports;
+    private final Starts starts;
     private final Sharing sharing;
     private final Scheduling scheduling;
     private final Upkeep upkeep;
@@ -44,15 +36,14 @@
 
     private Dispatcher(
             long fence, long nowMs, long heldForMs, String recordKeyPrefix, Orders orders, DispatchListener listener) {
-        this.fence = fence;
-        this.orders = orders;
         this.listener = listener;
         this.fleet = new Fleet(nowMs + heldForMs);
         this.recorder = new Recorder(recordKeyPrefix);
         this.jobs = new JobTable(recorder, listener);
-        this.health = new RunnerHealth(listener);
+        RunnerHealth health = new RunnerHealth(listener);
         this.reports = new Reports(jobs, recorder, health, listener, orders);
         Disturbance disturbance = new Disturbance();
+        this.starts = new Starts(fence, orders, fleet, jobs, health, reports);
         this.sharing = new Sharing(orders, reports, disturbance);
         this.scheduling = new Scheduling(jobs, fleet, recorder, new Placement(disturbance), listener);
         this.upkeep = new Upkeep(jobs, fleet, reports, health, orders, fence);
@@ -143,13 +134,7 @@
      * @param nowMs the time
      */
     public void updateRunners(List<RunnerEntry> entries, long nowMs) {
-        fleet.update(entries, runner -> endLife(runner, nowMs));
-    }
-
-    private void endLife(RunnerState runner, long nowMs) {
-        for (TaskState task : new ArrayList<>(runner.tasks.values())) {
-            reports.lose(task, Cause.RUNNER_RESTARTED, nowMs, 0);
-        }
+        fleet.update(entries, runner -> reports.endLife(runner, nowMs));
     }
 
     /**
@@ -186,7 +171,7 @@
             if (task.phase == TaskState.Phase.PLACED && task.run == placement.run()) {
                 task.phase = TaskState.Phase.ORDERED;
                 task.confirmedAtHold = Long.MAX_VALUE;
-                sendStart(task, nowMs);
+                starts.send(task, nowMs);
             }
         }
     }
@@ -210,28 +195,6 @@
         recorder.restore(batch);
     }
 
-    private void sendStart(TaskState task, long nowMs) {
-        RunnerState runner = task.runner;
-        Optional<RunnerAddress> to = runner.address();
-        if (to.isEmpty() || runner.clock.isEmpty()) {
-            reports.lose(task, Cause.RUNNER_RESTARTED, nowMs, 0);
-            return;
-        }
-        long untilMs = runner.clock.get().leastMs(nowMs) + DispatchTiming.START_LEASE_MS;
-        runner.grantUntil(untilMs);
-        task.startAttempts++;
-        orders.start(
-                to.get(),
-                new StartOrder(
-                        task.name,
-                        task.run,
-                        task.step.job.request.payload(),
-                        untilMs,
-                        fence,
-                        task.checkpoint,
-                        Optional.empty()));
-    }
-
     /**
      * Takes the answer to a start.
      *
@@ -243,53 +206,7 @@
      */
     public void onStart(TaskName name, int run, String runnerId, OrderAnswer answer, long nowMs) {
         noteFence(runnerId, answer.outcome());
-        Optional<RunnerState> found = fleet.get(runnerId);
-        Optional<TaskState> ordered = jobs.task(name);
-        if (found.isEmpty() || ordered.isEmpty()) {
-            return;
-        }
-        RunnerState runner = found.get();
-        TaskState task = ordered.get();
-        if (task.run != run || task.runner != runner || task.phase != TaskState.Phase.ORDERED) {
-            return;
-        }
-        switch (answer.outcome()) {
-            case ACCEPTED:
-                answer.clockMs().ifPresent(clockMs -> runner.clock = Optional.of(RunnerClock.of(clockMs, nowMs)));
-                reports.confirm(task, runner);
-                return;
-            case UNANSWERED, FENCED:
-                onUnknownStart(task, answer.outcome(), nowMs);
-                return;
-            case OTHER_RUNNER:
-                endLife(runner, nowMs);
-                runner.listed = false;
-                return;
-            case NO_ROOM:
-                runner.noRoomEndMs = nowMs + DispatchTiming.NO_ROOM_MS;
-                break;
-            case UNHEALTHY:
-                health.failed(runner, name.jobId(), nowMs);
-                runner.noRoomEndMs = nowMs + DispatchTiming.NO_ROOM_MS;
-                break;
-            default:
-                runner.noRoomEndMs = nowMs + DispatchTiming.RETRY_MS;
-                break;
-        }
-        if (task.startAttempts > 1) {
-            // An earlier attempt of the same run had no answer and may still be carried out.
-            reports.stop(task, Cause.REFUSED, nowMs);
-            return;
-        }
-        reports.lose(task, Cause.REFUSED, nowMs, 0);
-    }
-
-    private void onUnknownStart(TaskState task, OrderOutcome outcome, long nowMs) {
-        if (outcome == OrderOutcome.UNANSWERED && !task.stopping && task.startAttempts < START_ATTEMPTS) {
-            sendStart(task, nowMs);
-            return;
-        }
-        reports.stop(task, Cause.REFUSED, nowMs);
+        starts.onStart(name, run, runnerId, answer, nowMs);
     }
 
     /**
@@ -303,20 +220,7 @@
      */
     public void onStop(TaskName name, int run, String runnerId, OrderAnswer answer, long nowMs) {
         noteFence(runnerId, answer.outcome());
-        Optional<RunnerState> runner = fleet.get(runnerId);
-        if (runner.isEmpty()) {
-            return;
-        }
-        TaskState task = runner.get().tasks.get(name);
-        if (task == null || task.run != run) {
-            return;
-        }
-        boolean settled = answer.outcome() == OrderOutcome.ACCEPTED || answer.outcome() == OrderOutcome.OLD_RUN;
-        if (settled && task.phase == TaskState.Phase.ORDERED) {
-            // The run cannot begin any more, so the next report tells whether it had begun.
-            task.confirmedAtHold = runner.get().holdSequence;
-            runner.get().nextHoldAtMs = nowMs;
-        }
+        starts.onStop(name, run, runnerId, answer, nowMs);
     }
 
     /**
@@ -336,7 +240,7 @@
         RunnerState runner = found.get();
         runner.holdInFlight = false;
         if (answer.outcome() == OrderOutcome.OTHER_RUNNER) {
-            endLife(runner, nowMs);
+            reports.endLife(runner, nowMs);
             runner.listed = false;
             runner.nextHoldAtMs = nowMs + DispatchTiming.UNRECORDED_RENEWAL_MS;
             return;
@@ -348,7 +252,7 @@
         }
         long bornMs = answer.report().get().bornMs();
         if (bornMs != 0 && bornMs != runner.bornMs) {
-            endLife(runner, nowMs);
+            reports.endLife(runner, nowMs);
             runner.beginLife(bornMs);
         }
         reports.apply(runner, sequence, answer.report().get(), nowMs);
--- a/core/src/main/java/org/pollensill/dispatch/Reports.java
+++ b/core/src/main/java/org/pollensill/dispatch/Reports.java
@@ -156,6 +156,13 @@
         recorder.changed(task.step.job);
     }
 
+    /** Takes everything off a runner that has started anew. */
+    void endLife(RunnerState runner, long nowMs) {
+        for (TaskState task : new ArrayList<>(runner.tasks.values())) {
+            lose(task, Cause.RUNNER_RESTARTED, nowMs, 0);
+        }
+    }
+
     /** Stops all runs of a job that has reached a final state. */
     void stopAll(JobState job, long nowMs) {
         for (StepState step : job.steps) {
--- a/core/src/main/java/org/pollensill/leader/LeaderWatch.java
+++ b/core/src/main/java/org/pollensill/leader/LeaderWatch.java
@@ -117,13 +117,4 @@
     public long rowVersion() {
         return rowVersion;
     }
-
-    /**
-     * Returns when the row was last seen to change.
-     *
-     * @return monotonic time
-     */
-    public long changedAtMs() {
-        return changedAtMs;
-    }
 }
