--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
@@ -288,7 +288,7 @@
             health.watch(store.commit(new Commit("expired-" + id, List.of(), rows)))
                     .whenComplete((outcome, failure) -> {
                         if (failure != null) {
-                            // The row stays until the next leader loads it and finds the job ended.
+                            // Open fault: without its progress, the next leader takes the job that stays for a new one.
                             LOG.log(CoordinatorEvent.EXPIRY_FAILED, "job", id, "problem", failure.getMessage());
                         }
                     });
