Delete an ended job's own rows before its progress

Cause: LeaderSession deleted a job's progress and its accepted rows by two independent commits. If the second failed, or the process ended between them, the next leader found the job without progress and ran it again, 150 s after its end. A feed that began before the deletion could bring the job back to a leader that had forgotten it as well. Ruled out: one transaction over both parts; it takes twice as long and needs the store's support across parts. Change: Expiry deletes the accepted rows first, the progress with a later commit, and forgets the job after the longest read. Progress whose job is gone is deleted by the next leader.

--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
@@ -14,7 +14,6 @@
 import org.pollensill.job.JobStatus;
 import org.pollensill.json.JsonSyntaxException;
 import org.pollensill.leader.CommitChain;
-import org.pollensill.platform.Commit;
 import org.pollensill.platform.Row;
 import org.pollensill.platform.RowStore;
 import org.pollensill.platform.Write;
@@ -41,18 +40,19 @@
 
     private static final long LOAD_RETRY_MS = 150;
     private static final int PAGE = 500;
-    private static final int EXPIRED_JOBS_AT_ONCE = 25;
+
+    /** Period of looking for jobs that ended long ago. */
+    private static final long EXPIRY_MS = 2_000;
 
     private final Loop loop;
     private final RowStore store;
     private final StoreHealth health;
-    private final CoordinatorSettings settings;
     private final Committer committer;
     private final OrderSender orders;
     private final Dispatcher dispatcher;
     private final IntakeFeed intake;
     private final Map<String, JobRecord> records = new HashMap<>();
-    private boolean recordsLoaded;
+    private final Expiry expiry;
     private boolean jobsLoaded;
     private boolean runnersLoaded;
     private boolean stopped;
@@ -64,7 +64,6 @@
         this.loop = context.loop();
         this.store = context.store();
         this.health = context.health();
-        this.settings = context.settings();
         this.tookOverAtMs = loop.nowMs();
         this.committer = new Committer(context, chain, onDeposed, this::pump);
         this.orders = new OrderSender(loop, context.runners(), chain.row().fence(), this::pump);
@@ -76,6 +75,10 @@
                 orders,
                 new DecisionLog(context.metrics(), committer::confirmSoon));
         this.orders.attach(dispatcher);
+        this.expiry = new Expiry(
+                commit -> health.watch(store.commit(commit)),
+                new EndedJobs(),
+                context.settings().keepEndedMs());
         this.intake = new IntakeFeed(loop, store, health, this::onIntake);
     }
 
@@ -84,6 +87,7 @@
         loadRecords("");
         loadRunners();
         tick();
+        expire();
     }
 
     void setCatalogue(QueueCatalogue catalogue) {
@@ -144,7 +148,6 @@
                 loadRecords(Tables.jobId(page.rows().get(page.rows().size() - 1).key()));
                 return;
             }
-            recordsLoaded = true;
             intake.start();
         });
     }
@@ -172,6 +175,7 @@
             }
             if (!jobsLoaded) {
                 jobsLoaded = true;
+                expiry.addOrphans(records.keySet());
                 records.clear();
                 dispatcher.begin();
                 logLoaded();
@@ -182,7 +186,7 @@
 
     private void addJob(Row row, long nowMs) {
         try {
-            Optional<JobRecord> record = Optional.ofNullable(records.get(Tables.jobId(row.key())));
+            Optional<JobRecord> record = Optional.ofNullable(records.remove(Tables.jobId(row.key())));
             dispatcher.addJob(JobCodec.decode(row.value()), record, nowMs);
         } catch (JsonSyntaxException e) {
             LOG.log(CoordinatorEvent.ROW_UNREADABLE, "key", row.key(), "problem", e.getMessage());
@@ -264,10 +268,12 @@
         }
         List<Write> writes = new ArrayList<>();
         batch.ifPresent(changes -> writes.addAll(changes.writes()));
-        if (batch.isEmpty() && jobsLoaded) {
-            writes.addAll(expired(nowMs));
-        }
+        List<Write> expired = batch.isEmpty() && jobsLoaded ? expiry.takeProgressDeletions() : List.of();
+        writes.addAll(expired);
         committer.commit(dispatcher.waitingJobs(), writes, committed -> {
+            if (!committed) {
+                expiry.restore(expired);
+            }
             if (batch.isEmpty()) {
                 return;
             }
@@ -279,20 +285,26 @@
         });
     }
 
-    /** Deletes what is stored of jobs that ended long ago: here their progress, their own rows by calls of their own. */
-    private List<Write> expired(long nowMs) {
-        List<Write> deletes = new ArrayList<>();
-        for (String id : dispatcher.takeExpired(nowMs - settings.keepEndedMs(), EXPIRED_JOBS_AT_ONCE)) {
-            deletes.add(Write.delete(Tables.progressKey(id)));
-            List<Write> rows = List.of(Write.delete(Tables.jobKey(id)), Write.delete(Tables.cancelKey(id)));
-            health.watch(store.commit(new Commit("expired-" + id, List.of(), rows)))
-                    .whenComplete((outcome, failure) -> {
-                        if (failure != null) {
-                            // Open fault: without its progress, the next leader takes the job that stays for a new one.
-                            LOG.log(CoordinatorEvent.EXPIRY_FAILED, "job", id, "problem", failure.getMessage());
-                        }
-                    });
+    private void expire() {
+        if (stopped) {
+            return;
+        }
+        if (jobsLoaded && !releasing) {
+            expiry.run(loop.nowMs());
+        }
+        loop.after(EXPIRY_MS, this::expire);
+    }
+
+    private final class EndedJobs implements Expiry.Jobs {
+
+        @Override
+        public List<String> endedBefore(long timeMs) {
+            return dispatcher.endedBefore(timeMs);
+        }
+
+        @Override
+        public void forget(String id) {
+            dispatcher.forget(id);
         }
-        return deletes;
     }
 }
--- a/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
@@ -303,23 +303,27 @@
     }
 
     /**
-     * Returns the jobs that ended before a time and forgets them.
+     * Returns the jobs whose recorded end lies before a time.
      *
-     * @param endedBeforeMs the time
-     * @param most the most jobs to return
+     * @param timeMs the time
      * @return their identities
      */
-    public List<String> takeExpired(long endedBeforeMs, int most) {
-        List<String> expired = new ArrayList<>();
-        for (JobState job : new ArrayList<>(jobs.all())) {
-            if (expired.size() >= most) {
-                break;
-            }
-            if (job.recorded.isFinal() && job.finalAtMs < endedBeforeMs) {
-                expired.add(job.request.id());
-                jobs.forget(job);
+    public List<String> endedBefore(long timeMs) {
+        List<String> ended = new ArrayList<>();
+        for (JobState job : jobs.all()) {
+            if (job.recorded.isFinal() && job.finalAtMs < timeMs) {
+                ended.add(job.request.id());
             }
         }
-        return expired;
+        return ended;
+    }
+
+    /**
+     * Forgets a job that has ended.
+     *
+     * @param id the job
+     */
+    public void forget(String id) {
+        jobs.get(id).filter(job -> job.recorded.isFinal()).ifPresent(jobs::forget);
     }
 }
