Estimate the slack of serving tasks, set paces by it, and time the way to the store without its waits

Cause: tasks that fill found no place because placements were held to a fixed raise of a tail, whatever the load of the serving task; disturbers were paused as a whole after the bound was passed and moved one second later. Ruled out: idle processors (trial with dumps of all reports: a filling task's progress does not depend on them) and a load per image (tails of one job's tasks agree within 5% on different runners, those of two jobs of one image do not). Change: bound/tail is linear in the shares of what fills; its idle value is followed per job, the coefficients come from the differences. Paces are set so that a margin is left, tasks are moved only where there is a better place. StoreHealth does not time calls that wait. A leader notice is not lost behind a read in flight, a lost campaign looks again at once, stronger machines hold back less. Tables are read by one reader, the sixteen parts at once. StoreHealthTest is new; its first case is the fault found.

--- a/coordinator/src/main/java/org/pollensill/coordinator/ConfigFollower.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/ConfigFollower.java
@@ -66,7 +66,7 @@
         if (stopped) {
             return;
         }
-        health.watch(store.changesAfter(ConfigurationCodec.TABLE, version, FEED_WAIT_MS))
+        health.watchWaiting(store.changesAfter(ConfigurationCodec.TABLE, version, FEED_WAIT_MS))
                 .whenComplete((changes, failure) -> {
                     if (failure != null || changes.historyGone()) {
                         loop.after(failure == null ? 0 : RETRY_MS, this::reread);
--- a/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
@@ -69,7 +69,7 @@
         this.group = EventLoops.of(1);
         this.loop = new Loop(group.next());
         this.client = HttpClient.of(group, CLIENT);
-        this.health = new StoreHealth(loop);
+        this.health = new StoreHealth(loop::nowMs);
         this.incarnation = settings.name() + "-" + UUID.randomUUID();
         this.peers = new Peers(group, settings, this::onLeaderGone);
         this.path = new StorePath(loop, client::send, settings.storeAddress(), peers, HttpRowStore.PROBE_URI);
--- a/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorSettings.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorSettings.java
@@ -27,6 +27,7 @@
  * @param stopWithinMs longest time of a graceful shutdown
  * @param keepEndedMs how long the state of an ended job stays known
  * @param maxRowBytes largest row of the store
+ * @param processors processors that the machine gives this process, such as 0.75
  * @param logLevel lowest level of log lines
  */
 public record CoordinatorSettings(
@@ -40,6 +41,7 @@
         long stopWithinMs,
         long keepEndedMs,
         long maxRowBytes,
+        double processors,
         String logLevel) {
 
     /** Default of {@code stopWithinMs}: below the shortest grace period of the users' deployments, 6 s. */
@@ -48,6 +50,12 @@
     /** Default of {@code keepEndedMs}: the platform asks for 120 s. */
     public static final long DEFAULT_KEEP_ENDED_MS = 150_000;
 
+    /** Processors beyond which a machine leads no better. */
+    private static final double ENOUGH_PROCESSORS = 1;
+
+    /** Least strength, so that a weak machine still leads where there is no other. */
+    private static final double LEAST_STRENGTH = 0.1;
+
     /** Default of {@code maxRowBytes}, the users' store. */
     public static final long DEFAULT_MAX_ROW_BYTES = 65_536;
 
@@ -107,6 +115,7 @@
         long stopWithinMs = reader.number("stopWithinMs", DEFAULT_STOP_WITHIN_MS);
         long keepEndedMs = reader.number("keepEndedMs", DEFAULT_KEEP_ENDED_MS);
         long maxRowBytes = reader.number("maxRowBytes", DEFAULT_MAX_ROW_BYTES);
+        double processors = reader.fraction("processorShare", 1) * reader.number("processorCores", 1);
         String logLevel = object.text("logLevel").orElse("info");
         if (!reader.problems.isEmpty()) {
             throw new SettingsFileException(reader.problems);
@@ -122,9 +131,19 @@
                 stopWithinMs,
                 keepEndedMs,
                 maxRowBytes,
+                processors,
                 logLevel);
     }
 
+    /**
+     * Returns how well the machine is suited to lead.
+     *
+     * @return 1 for a machine that is strong enough, less for a weaker one
+     */
+    public double strength() {
+        return Math.max(LEAST_STRENGTH, Math.min(1, processors / ENOUGH_PROCESSORS));
+    }
+
     /** Reads members and gathers their problems. */
     private static final class Reader {
 
@@ -160,6 +179,18 @@
             }
         }
 
+        double fraction(String member, double defaultValue) {
+            if (!object.members().containsKey(member)) {
+                return defaultValue;
+            }
+            Optional<Double> number = object.number(member);
+            if (number.isEmpty() || !(number.get() > 0)) {
+                problems.add(member + ": a number above 0 is expected");
+                return defaultValue;
+            }
+            return number.get();
+        }
+
         long number(String member, long defaultValue) {
             if (!object.members().containsKey(member)) {
                 return defaultValue;
--- a/coordinator/src/main/java/org/pollensill/coordinator/IntakeFeed.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/IntakeFeed.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 import org.pollensill.platform.Row;
@@ -10,7 +12,6 @@
 /** Follows the accepted jobs and their cancellations; after a gap it reads the whole table again. */
 final class IntakeFeed {
 
-    private static final int PAGE = 500;
     private static final long FEED_WAIT_MS = 1_000;
     private static final long RETRY_MS = 150;
 
@@ -19,6 +20,7 @@
     private final StoreHealth health;
     private final Consumer<List<Row>> listener;
     private final List<String> partitions = Tables.intakePartitions();
+    private final TableReader reader;
     private boolean stopped;
 
     IntakeFeed(Loop loop, RowStore store, StoreHealth health, Consumer<List<Row>> listener) {
@@ -26,71 +28,61 @@
         this.store = store;
         this.health = health;
         this.listener = listener;
+        this.reader = new TableReader(loop, store, health, () -> stopped);
     }
 
     void start() {
-        readAll(0, "", Long.MAX_VALUE, new ArrayList<>());
+        readAll();
     }
 
     void stop() {
         stopped = true;
     }
 
-    /** Reads all partitions; the feed continues from the version of the first page, which precedes all others. */
-    private void readAll(int partition, String after, long firstVersion, List<Row> rows) {
-        if (stopped) {
-            return;
+    /** Reads all partitions at once; the feed continues from the lowest version, which precedes all others. */
+    private void readAll() {
+        List<Row> rows = new ArrayList<>();
+        AtomicLong version = new AtomicLong(Long.MAX_VALUE);
+        AtomicInteger open = new AtomicInteger(partitions.size());
+        for (String partition : partitions) {
+            reader.read(partition).thenAccept(snapshot -> {
+                rows.addAll(snapshot.rows());
+                version.accumulateAndGet(snapshot.version(), Math::min);
+                if (open.decrementAndGet() == 0) {
+                    listener.accept(rows);
+                    follow(version.get());
+                }
+            });
         }
-        health.watch(store.page(partitions.get(partition), after, PAGE)).whenComplete((page, failure) -> {
-            if (stopped) {
-                return;
-            }
-            if (failure != null) {
-                loop.after(RETRY_MS, () -> readAll(partition, after, firstVersion, rows));
-                return;
-            }
-            rows.addAll(page.rows());
-            long version = Math.min(firstVersion, page.version());
-            if (page.truncated() && !page.rows().isEmpty()) {
-                String last = page.rows().get(page.rows().size() - 1).key();
-                readAll(partition, last.substring(last.indexOf('/') + 1), version, rows);
-                return;
-            }
-            if (partition + 1 < partitions.size()) {
-                readAll(partition + 1, "", version, rows);
-                return;
-            }
-            listener.accept(rows);
-            follow(version);
-        });
     }
 
     private void follow(long version) {
         if (stopped) {
             return;
         }
-        health.watch(store.changesAfter(Tables.INTAKE, version, FEED_WAIT_MS)).whenComplete((changes, failure) -> {
-            if (stopped) {
-                return;
-            }
-            if (failure != null) {
-                loop.after(RETRY_MS, () -> follow(version));
-                return;
-            }
-            if (changes.historyGone()) {
-                start();
-                return;
-            }
-            List<Row> rows = new ArrayList<>();
-            for (RowStore.Change change : changes.changes()) {
-                if (!change.deleted()) {
-                    rows.add(change.row());
-                }
-            }
-            if (!rows.isEmpty()) {
-                listener.accept(rows);
-            }
-            follow(changes.version());
-        });
+        health.watchWaiting(store.changesAfter(Tables.INTAKE, version, FEED_WAIT_MS))
+                .whenComplete((changes, failure) -> {
+                    if (stopped) {
+                        return;
+                    }
+                    if (failure != null) {
+                        loop.after(RETRY_MS, () -> follow(version));
+                        return;
+                    }
+                    if (changes.historyGone()) {
+                        start();
+                        return;
+                    }
+                    List<Row> rows = new ArrayList<>();
+                    for (RowStore.Change change : changes.changes()) {
+                        if (!change.deleted()) {
+                            rows.add(change.row());
+                        }
+                    }
+                    if (!rows.isEmpty()) {
+                        listener.accept(rows);
+                    }
+                    follow(changes.version());
+                });
     }
 }
--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
@@ -38,15 +38,11 @@
     /** Least time between the begins of two commits, so that the changes of a moment share one. */
     private static final long COMMIT_SPACING_MS = 12;
 
-    private static final long LOAD_RETRY_MS = 150;
-    private static final int PAGE = 500;
-
     /** Period of looking for jobs that ended long ago. */
     private static final long EXPIRY_MS = 2_000;
 
     private final Loop loop;
-    private final RowStore store;
-    private final StoreHealth health;
+    private final TableReader reader;
     private final Committer committer;
     private final OrderSender orders;
     private final Dispatcher dispatcher;
@@ -62,8 +58,9 @@
 
     LeaderSession(CoordinatorContext context, CommitChain chain, long formerUnconfirmedMs, Runnable onDeposed) {
         this.loop = context.loop();
-        this.store = context.store();
-        this.health = context.health();
+        RowStore store = context.store();
+        StoreHealth health = context.health();
+        this.reader = new TableReader(loop, store, health, () -> stopped);
         this.tookOverAtMs = loop.nowMs();
         this.committer = new Committer(context, chain, onDeposed, this::pump);
         this.orders = new OrderSender(loop, context.runners(), chain.row().fence(), this::pump);
@@ -84,7 +81,7 @@
 
     void start(Optional<QueueCatalogue> catalogue) {
         catalogue.ifPresent(dispatcher::setCatalogue);
-        loadRecords("");
+        loadRecords();
         loadRunners();
         tick();
         expire();
@@ -129,25 +126,9 @@
         return jobsLoaded && runnersLoaded;
     }
 
-    private void loadRecords(String after) {
-        if (stopped) {
-            return;
-        }
-        health.watch(store.page(Tables.PROGRESS, after, PAGE)).whenComplete((page, failure) -> {
-            if (stopped) {
-                return;
-            }
-            if (failure != null) {
-                loop.after(LOAD_RETRY_MS, () -> loadRecords(after));
-                return;
-            }
-            for (Row row : page.rows()) {
-                loadRecord(row);
-            }
-            if (page.truncated() && !page.rows().isEmpty()) {
-                loadRecords(Tables.jobId(page.rows().get(page.rows().size() - 1).key()));
-                return;
-            }
+    private void loadRecords() {
+        reader.read(Tables.PROGRESS).thenAccept(snapshot -> {
+            snapshot.rows().forEach(this::loadRecord);
             intake.start();
         });
     }
@@ -194,29 +175,11 @@
     }
 
     private void loadRunners() {
-        readRunners("", new ArrayList<>());
-    }
-
-    private void readRunners(String after, List<RunnerEntry> entries) {
-        if (stopped) {
-            return;
-        }
-        health.watch(store.page(RunnerEntryCodec.TABLE, after, PAGE)).whenComplete((page, failure) -> {
-            if (stopped) {
-                return;
-            }
-            if (failure != null) {
-                loop.after(RUNNERS_MS, this::loadRunners);
-                return;
-            }
-            for (Row row : page.rows()) {
+        reader.read(RunnerEntryCodec.TABLE).thenAccept(snapshot -> {
+            List<RunnerEntry> entries = new ArrayList<>();
+            for (Row row : snapshot.rows()) {
                 RunnerEntryCodec.decode(row).ifPresent(entries::add);
             }
-            if (page.truncated() && !page.rows().isEmpty()) {
-                String last = page.rows().get(page.rows().size() - 1).key();
-                readRunners(last.substring(last.indexOf('/') + 1), entries);
-                return;
-            }
             dispatcher.updateRunners(entries, loop.nowMs());
             if (!runnersLoaded) {
                 runnersLoaded = true;
--- a/coordinator/src/main/java/org/pollensill/coordinator/Leadership.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Leadership.java
@@ -30,7 +30,7 @@
     /** A row that did not change for this long has lost its leader: three renewals. */
     private static final long LAPSE_MS = 2_200;
 
-    /** A candidate holds back by this many of its round trips to the store, so that the nearest one wins. */
+    /** A candidate holds back by this many of its round trips to the store, so that the nearest strong one wins. */
     private static final long ROUND_TRIPS_TO_HOLD_BACK = 15;
 
     private static final int RANDOM_DELAY_MS = 60;
@@ -48,6 +48,9 @@
     private Optional<LeaderSession> session = Optional.empty();
     private boolean campaigning;
     private boolean reading;
+    /** Whether the row may have changed since the read in flight was sent. */
+    private boolean readAgain;
+
     private boolean stopping;
     private String lastSeen = "";
 
@@ -92,7 +95,10 @@
     /** Notes that the leader's process has ended or given up its lease, and looks at the row at once. */
     void onLeaderGone(String leaderIncarnation, boolean proven) {
         watch.onLeaderGone(leaderIncarnation, proven);
-        loop.run(this::readRow);
+        loop.run(() -> {
+            readAgain = reading;
+            readRow();
+        });
     }
 
     /**
@@ -126,6 +132,11 @@
         long sentMs = loop.nowMs();
         health.watch(store.read(List.of(Tables.LEADER_KEY), List.of())).whenComplete((rows, failure) -> {
             reading = false;
+            if (readAgain) {
+                readAgain = false;
+                readRow();
+                return;
+            }
             if (failure != null) {
                 return;
             }
@@ -159,7 +170,7 @@
         if (campaigning || stopping || session.isPresent() || config.current().isEmpty()) {
             return;
         }
-        long holdBackMs = ROUND_TRIPS_TO_HOLD_BACK * health.roundTripMs()
+        long holdBackMs = (long) (ROUND_TRIPS_TO_HOLD_BACK * health.roundTripMs() / settings.strength())
                 + ThreadLocalRandom.current().nextInt(RANDOM_DELAY_MS);
         if (watch.shouldCampaign(loop.nowMs(), holdBackMs)) {
             campaign();
@@ -222,6 +233,7 @@
             default:
                 campaigning = false;
                 LOG.log(CoordinatorEvent.CAMPAIGN_LOST);
+                readRow();
         }
     }
 
--- a/coordinator/src/main/java/org/pollensill/coordinator/StoreHealth.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/StoreHealth.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
 
 import org.pollensill.error.Failures;
 import org.pollensill.platform.PlatformException;
@@ -15,21 +16,37 @@
     /** Calls in a row that must fail before the store counts as lost. */
     private static final int FAILURES_TO_LOSE = 2;
 
-    private final Loop loop;
+    /** Weight of the newest call in the smoothed round trip. */
+    private static final double SMOOTHING = 0.2;
+
+    private final LongSupplier clockMs;
     private int failures;
     private boolean lost;
     private double roundTripMs = 5;
 
-    StoreHealth(Loop loop) {
-        this.loop = Objects.requireNonNull(loop, "loop is null");
+    StoreHealth(LongSupplier clockMs) {
+        this.clockMs = Objects.requireNonNull(clockMs, "clockMs is null");
     }
 
     /** Watches a call and passes it on. */
     <T> CompletableFuture<T> watch(CompletableFuture<T> call) {
-        long sentMs = loop.nowMs();
+        long sentMs = clockMs.getAsLong();
+        call.whenComplete((answer, failure) -> {
+            if (failure == null) {
+                roundTripMs += SMOOTHING * (clockMs.getAsLong() - sentMs - roundTripMs);
+                answered();
+            } else {
+                failed(failure);
+            }
+        });
+        return call;
+    }
+
+    /** Watches a call that waits for changes, whose duration tells nothing about the way to the store. */
+    <T> CompletableFuture<T> watchWaiting(CompletableFuture<T> call) {
         call.whenComplete((answer, failure) -> {
             if (failure == null) {
-                answered(loop.nowMs() - sentMs);
+                answered();
             } else {
                 failed(failure);
             }
@@ -37,9 +54,8 @@
         return call;
     }
 
-    private void answered(long tookMs) {
+    private void answered() {
         failures = 0;
-        roundTripMs = roundTripMs * 0.8 + tookMs * 0.2;
         if (lost) {
             lost = false;
             LOG.log(CoordinatorEvent.STORE_REGAINED);
--- /dev/null
+++ b/coordinator/src/test/java/org/pollensill/coordinator/StoreHealthTest.java
@@ -0,0 +1,81 @@
+package org.pollensill.coordinator;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pollensill.platform.PlatformException;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class StoreHealthTest {
+
+    private final AtomicLong nowMs = new AtomicLong(1_000);
+    private final StoreHealth health = new StoreHealth(nowMs::get);
+
+    private void call(long tookMs) {
+        CompletableFuture<String> call = new CompletableFuture<>();
+        health.watch(call);
+        nowMs.addAndGet(tookMs);
+        call.complete("");
+    }
+
+    private void waitingCall(long tookMs) {
+        CompletableFuture<String> call = new CompletableFuture<>();
+        health.watchWaiting(call);
+        nowMs.addAndGet(tookMs);
+        call.complete("");
+    }
+
+    @Nested
+    class RoundTrip {
+
+        @Test
+        void shouldNotCountTheTimeThatACallWaitsForChanges() {
+            for (int i = 0; i < 20; i++) {
+                call(4);
+                waitingCall(1_000);
+            }
+            assertTrue(health.roundTripMs() <= 5, "round trip " + health.roundTripMs());
+        }
+
+        @Test
+        void shouldFollowASlowStore() {
+            for (int i = 0; i < 20; i++) {
+                call(100);
+            }
+            assertTrue(health.roundTripMs() >= 90, "round trip " + health.roundTripMs());
+        }
+    }
+
+    @Nested
+    class Availability {
+
+        private void fail() {
+            health.watch(CompletableFuture.failedFuture(
+                    new PlatformException(PlatformException.Effect.UNKNOWN, "no answer")));
+        }
+
+        @Test
+        void shouldCountAsLostAfterTwoFailuresInARow() {
+            fail();
+            assertTrue(health.available());
+            fail();
+            assertFalse(health.available());
+            call(4);
+            assertTrue(health.available());
+        }
+
+        @Test
+        void shouldCountAWaitingCallThatIsAnswered() {
+            fail();
+            waitingCall(1_000);
+            fail();
+            assertTrue(health.available());
+            assertEquals(5, health.roundTripMs());
+        }
+    }
+}
--- a/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
@@ -29,6 +29,7 @@
     private final JobTable jobs;
     private final Reports reports;
     private final Starts starts;
+    private final Disturbance disturbance = new Disturbance();
     private final Sharing sharing;
     private final Scheduling scheduling;
     private final Upkeep upkeep;
@@ -42,10 +43,10 @@
         this.jobs = new JobTable(recorder, listener);
         RunnerHealth health = new RunnerHealth(listener);
         this.reports = new Reports(jobs, recorder, health, listener, orders);
-        Disturbance disturbance = new Disturbance();
         this.starts = new Starts(fence, orders, fleet, jobs, health, reports);
-        this.sharing = new Sharing(orders, reports, disturbance);
-        this.scheduling = new Scheduling(jobs, fleet, recorder, new Placement(disturbance), listener);
+        Placement placement = new Placement(disturbance);
+        this.scheduling = new Scheduling(jobs, fleet, recorder, placement, listener);
+        this.sharing = new Sharing(orders, reports, disturbance, scheduling::hasOtherPlace);
         this.upkeep = new Upkeep(jobs, fleet, reports, health, orders, fence);
     }
 
@@ -324,6 +325,7 @@
      * @param id the job
      */
     public void forget(String id) {
+        disturbance.forget(id);
         jobs.get(id).filter(job -> job.recorded.isFinal()).ifPresent(jobs::forget);
     }
 }
--- a/core/src/main/java/org/pollensill/dispatch/Disturbance.java
+++ b/core/src/main/java/org/pollensill/dispatch/Disturbance.java
@@ -1,32 +1,47 @@
 package org.pollensill.dispatch;
 
+import java.util.Arrays;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
- * Estimates how much tasks that fill raise the tail latency of tasks that serve, per pair of images. The logarithm of
- * the tail, as a part of its bound, is modelled as a base of the serving image plus, for each filling image, a
- * coefficient of at least 0 times the image's share of the runner's processors. Measurements fade, since loads change.
+ * Estimates how much tasks that fill slow down tasks that serve, per pair of images. The slack of a serving task, the
+ * bound of its tail latency divided by the tail, falls linearly with what works beside it: slack = idle slack - sum of
+ * coefficient x share of the runner's processors. All tasks of a job carry the same load of their own, so that the idle
+ * slack is estimated per job and the coefficients from the differences between its tasks.
  */
 final class Disturbance {
 
+    /** Slack of a task whose tail is at its bound. */
+    static final double BOUND = 1;
+
+    /** Idle slack of a job that was not measured yet: a tail at 45% of its bound. */
+    static final double ASSUMED_IDLE_SLACK = 2.2;
+
+    /** Coefficient that is assumed of a pair that was not measured yet. */
+    static final double ASSUMED_COEFFICIENT = 2;
+
+    /** Weight of the assumed coefficient: variance of the slack's noise over that of the coefficients. */
+    private static final double ASSUMED_WEIGHT = 0.01;
+
     /** Weight that a measurement keeps after another one of its image; some 3,300 measurements count. */
     private static final double FADING = 0.9997;
 
-    /** Pulls coefficients towards 0 until measurements outweigh it. */
-    private static final double RIDGE = 0.03;
+    /** Time over which the idle slack of a job is averaged; its load changes over some seconds. */
+    private static final double IDLE_WINDOW_MS = 400;
 
-    /** Weight of the assumed base, in measurements. */
-    private static final double BASE_WEIGHT = 5;
+    /** An estimate of the idle slack that is older than this tells nothing. */
+    private static final long IDLE_VALID_MS = 3_000;
 
-    /** Base that is assumed before anything was measured: a tail at 40% of its bound. */
-    private static final double ASSUMED_BASE = Math.log(0.4);
+    /** Pressure at which a measurement counts half for the idle slack. */
+    private static final double HALF_WEIGHT_PRESSURE = 0.5;
 
-    /**
-     * Largest raise of a tail's logarithm that placements may add up to. At the peak of a serving task's own load, a tail
-     * rises several times as much as on average, which is what the coefficients show.
-     */
-    static final double MOST_RAISE = 0.15;
+    /** Weight of the image's mean idle slack beside the measurements of a job. */
+    private static final double MEAN_WEIGHT = 0.3;
+
+    /** Share of the newest measurement in the image's mean idle slack. */
+    private static final double MEAN_SMOOTHING = 0.01;
 
     /** Most images of each side that are told apart. */
     private static final int MOST_IMAGES = 48;
@@ -34,21 +49,22 @@
     private static final int SWEEPS = 4;
 
     /** Measurements between two solutions. */
-    private static final int SOLVE_EVERY = 40;
+    private static final int SOLVE_EVERY = 20;
 
     private final Map<String, Integer> fillingIndex = new LinkedHashMap<>();
     private final Map<String, Model> models = new LinkedHashMap<>();
+    private final Map<String, IdleSlack> idle = new HashMap<>();
 
+    /** Coefficients of one serving image, by least squares. */
     private static final class Model {
-        private final double[][] products = new double[MOST_IMAGES + 1][MOST_IMAGES + 1];
-        private final double[] targets = new double[MOST_IMAGES + 1];
-        private final double[] coefficients = new double[MOST_IMAGES + 1];
+        private final double[][] products = new double[MOST_IMAGES][MOST_IMAGES];
+        private final double[] targets = new double[MOST_IMAGES];
+        private final double[] coefficients = new double[MOST_IMAGES];
+        private double meanIdleSlack = ASSUMED_IDLE_SLACK;
         private int unsolved;
 
         private Model() {
-            products[0][0] = BASE_WEIGHT;
-            targets[0] = BASE_WEIGHT * ASSUMED_BASE;
-            coefficients[0] = ASSUMED_BASE;
+            Arrays.fill(coefficients, ASSUMED_COEFFICIENT);
         }
 
         private void add(double[] features, int size, double target) {
@@ -65,45 +81,76 @@
             }
         }
 
-        /** Coordinate descent for least squares; all coefficients but the base stay at 0 or above. */
+        /** Coordinate descent for least squares; all coefficients stay at 0 or above. */
         private void solve(int size) {
             for (int sweep = 0; sweep < SWEEPS; sweep++) {
                 for (int i = 0; i < size; i++) {
-                    double rest = targets[i];
+                    double rest = targets[i] + ASSUMED_WEIGHT * ASSUMED_COEFFICIENT;
                     for (int j = 0; j < size; j++) {
                         rest -= i == j ? 0 : products[i][j] * coefficients[j];
                     }
-                    double weight = products[i][i] + (i == 0 ? 0 : RIDGE);
-                    double value = weight == 0 ? 0 : rest / weight;
-                    coefficients[i] = i == 0 ? value : Math.max(0, value);
+                    coefficients[i] = Math.max(0, rest / (products[i][i] + ASSUMED_WEIGHT));
                 }
             }
         }
     }
 
+    /** Mean of the recent idle slacks of a job's tasks, of which undisturbed ones count most. */
+    private static final class IdleSlack {
+        private double sum;
+        private double weight;
+        private long atMs;
+
+        private void add(double slack, double pressure, long nowMs) {
+            double kept = Math.exp(-(nowMs - atMs) / IDLE_WINDOW_MS);
+            double part = pressure / HALF_WEIGHT_PRESSURE;
+            double added = 1 / (1 + part * part);
+            sum = sum * kept + added * (slack + pressure);
+            weight = weight * kept + added;
+            atMs = nowMs;
+        }
+
+        private double value(double mean) {
+            return (sum + MEAN_WEIGHT * mean) / (weight + MEAN_WEIGHT);
+        }
+    }
+
     /**
      * Takes in a measurement.
      *
      * @param serving image of the task that serves
+     * @param job the task's job
      * @param shares share of the runner's processors by filling image, over the time that the tail covers
-     * @param part the tail as a part of its bound
+     * @param slack bound of the tail divided by the tail
+     * @param nowMs the time
      */
-    void observe(String serving, Map<String, Double> shares, double part) {
-        if (!(part > 0)) {
+    void observe(String serving, String job, Map<String, Double> shares, double slack, long nowMs) {
+        if (!(slack > 0) || Double.isInfinite(slack)) {
+            return;
+        }
+        Model model = model(serving);
+        if (model == null) {
             return;
         }
-        double[] features = new double[MOST_IMAGES + 1];
-        features[0] = 1;
+        double pressure = pressure(serving, shares);
+        IdleSlack ofJob = idle.computeIfAbsent(job, key -> new IdleSlack());
+        boolean known = nowMs - ofJob.atMs < IDLE_VALID_MS;
+        double idleSlack = known ? ofJob.value(model.meanIdleSlack) : model.meanIdleSlack;
+        if (pressure < HALF_WEIGHT_PRESSURE) {
+            model.meanIdleSlack += MEAN_SMOOTHING * (slack + pressure - model.meanIdleSlack);
+        }
+        ofJob.add(slack, pressure, nowMs);
+        if (shares.isEmpty() || !known) {
+            return;
+        }
+        double[] features = new double[MOST_IMAGES];
         for (Map.Entry<String, Double> share : shares.entrySet()) {
             int index = indexOf(share.getKey());
-            if (index > 0) {
+            if (index >= 0) {
                 features[index] = share.getValue();
             }
         }
-        Model model = model(serving);
-        if (model != null) {
-            model.add(features, fillingIndex.size() + 1, Math.log(part));
-        }
+        model.add(features, fillingIndex.size(), idleSlack - slack);
     }
 
     private int indexOf(String image) {
@@ -112,10 +159,10 @@
             return known;
         }
         if (fillingIndex.size() >= MOST_IMAGES) {
-            return 0;
+            return -1;
         }
-        fillingIndex.put(image, fillingIndex.size() + 1);
-        return fillingIndex.size();
+        fillingIndex.put(image, fillingIndex.size());
+        return fillingIndex.size() - 1;
     }
 
     private Model model(String serving) {
@@ -128,17 +175,52 @@
     }
 
     /**
-     * Returns how much an image is expected to raise the logarithm of a tail.
+     * Returns the slack that the tasks of a job would have without tasks that fill.
+     *
+     * @param serving image of the tasks
+     * @param job the job
+     * @param nowMs the time
+     * @return the slack, the image's mean where the job was not measured lately
+     */
+    double idleSlack(String serving, String job, long nowMs) {
+        Model model = models.get(serving);
+        double mean = model == null ? ASSUMED_IDLE_SLACK : model.meanIdleSlack;
+        IdleSlack ofJob = idle.get(job);
+        return ofJob == null || nowMs - ofJob.atMs >= IDLE_VALID_MS ? mean : ofJob.value(mean);
+    }
+
+    /**
+     * Returns by how much an image is expected to lower the slack.
      *
      * @param serving image of the task that serves
      * @param filling image of the task that fills
      * @param share its share of the runner's processors
-     * @return the raise, at least 0
+     * @return the pressure, at least 0
      */
-    double raise(String serving, String filling, double share) {
+    double pressure(String serving, String filling, double share) {
         Model model = models.get(serving);
         Integer index = fillingIndex.get(filling);
-        return model == null || index == null ? 0 : model.coefficients[index] * share;
+        return share * (model == null || index == null ? ASSUMED_COEFFICIENT : model.coefficients[index]);
+    }
+
+    /**
+     * Returns by how much several images are expected to lower the slack.
+     *
+     * @param serving image of the task that serves
+     * @param shares shares of the runner's processors by image
+     * @return the pressure, at least 0
+     */
+    double pressure(String serving, Map<String, Double> shares) {
+        double pressure = 0;
+        for (Map.Entry<String, Double> share : shares.entrySet()) {
+            pressure += pressure(serving, share.getKey(), share.getValue());
+        }
+        return pressure;
+    }
+
+    /** Forgets the measurements of a job that has ended. */
+    void forget(String job) {
+        idle.remove(job);
     }
 
     /**
@@ -160,7 +242,7 @@
         double product = 0;
         double oneSquared = 0;
         double twoSquared = 0;
-        for (int i = 1; i <= fillingIndex.size(); i++) {
+        for (int i = 0; i < fillingIndex.size(); i++) {
             product += one.coefficients[i] * two.coefficients[i];
             oneSquared += one.coefficients[i] * one.coefficients[i];
             twoSquared += two.coefficients[i] * two.coefficients[i];
--- a/core/src/main/java/org/pollensill/dispatch/Placement.java
+++ b/core/src/main/java/org/pollensill/dispatch/Placement.java
@@ -1,6 +1,7 @@
 package org.pollensill.dispatch;
 
 import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 
@@ -19,7 +20,7 @@
     /** A task that fills starts only where this part of what it needs is idle. */
     private static final double LEAST_IDLE_PART = 0.6;
 
-    /** How much a raised tail outweighs idle processors. */
+    /** How much the slack that is taken away outweighs idle processors. */
     private static final double DISTURBANCE_WEIGHT = 3;
 
     /** How much it counts that tasks that serve together are disturbed by the same images. */
@@ -28,8 +29,14 @@
     /** An empty runner is better than one that serves something unlike. */
     private static final double EMPTY_LIKENESS = 0.5;
 
-    /** A raise that does not count against a task that fills. */
-    private static final double NEGLIGIBLE_RAISE = 0.02;
+    /** A pressure that does not count against a task that fills. */
+    private static final double NEGLIGIBLE_PRESSURE = 0.02;
+
+    /** Slack above the bound that a placement must leave: the drift of a load within a second. */
+    private static final double PLACEMENT_MARGIN = 0.35;
+
+    /** A task's own measurement that is older than this gives way to that of its job. */
+    private static final long MEASUREMENT_VALID_MS = 2_000;
 
     private static final double RACK_BONUS = 2;
     private static final double AVOID_PENALTY = 5;
@@ -46,14 +53,14 @@
         RunnerState best = null;
         double bestScore = 0;
         for (RunnerState runner : runners) {
-            if (!runner.accepts(nowMs) || !allowed(task, runner)) {
+            if (!runner.accepts(nowMs) || !allowed(task, runner, nowMs)) {
                 continue;
             }
             RunnerEntry entry = runner.entry.get();
             if (onlyRack.isPresent() && !entry.rack().equals(onlyRack.get())) {
                 continue;
             }
-            double score = score(task, runner, entry);
+            double score = score(task, runner, entry, nowMs);
             if (best == null || score > bestScore) {
                 best = runner;
                 bestScore = score;
@@ -62,7 +69,7 @@
         return Optional.ofNullable(best);
     }
 
-    private boolean allowed(TaskState task, RunnerState runner) {
+    private boolean allowed(TaskState task, RunnerState runner, long nowMs) {
         StepSpec spec = task.step.spec;
         RunnerEntry entry = runner.entry.get();
         if (!entry.service().equals(task.step.job.service)) {
@@ -78,7 +85,7 @@
         }
         if (spec.is(Trait.FILLS)
                 && (runner.idleMillicores() < LEAST_IDLE_PART * spec.need().processorsMillicores()
-                        || disturbs(task, runner))) {
+                        || disturbs(task, runner, nowMs))) {
             return false;
         }
         PlacementRule rule = spec.placement();
@@ -90,39 +97,53 @@
     }
 
     /** Returns whether a task that fills would bring a tail near its bound, with those that fill there already. */
-    private boolean disturbs(TaskState task, RunnerState runner) {
-        for (String serving : runner.servingImages.keySet()) {
-            double raise = disturbance.raise(serving, task.image(), task.share(runner));
-            if (raise < NEGLIGIBLE_RAISE) {
-                continue;
-            }
-            double capacity = Math.max(1, runner.capacity().processorsMillicores());
-            for (Map.Entry<String, Long> filling : runner.fillingImages.entrySet()) {
-                raise += disturbance.raise(serving, filling.getKey(), filling.getValue() / capacity);
-            }
-            if (raise > Disturbance.MOST_RAISE) {
+    private boolean disturbs(TaskState task, RunnerState runner, long nowMs) {
+        for (Map.Entry<String, Double> served : headroom(runner, nowMs).entrySet()) {
+            double pressure = disturbance.pressure(served.getKey(), task.image(), task.share(runner));
+            if (pressure > NEGLIGIBLE_PRESSURE && served.getValue() - pressure < PLACEMENT_MARGIN) {
                 return true;
             }
         }
         return false;
     }
 
-    private double raise(TaskState task, RunnerState runner) {
-        double worst = 0;
-        for (String serving : runner.servingImages.keySet()) {
-            worst = Math.max(worst, disturbance.raise(serving, task.image(), task.share(runner)));
+    /** Returns the slack above the bound that is left on a runner, by serving image, when all that fills works. */
+    private Map<String, Double> headroom(RunnerState runner, long nowMs) {
+        if (runner.headroom != null) {
+            return runner.headroom;
         }
-        return worst;
+        Map<String, Double> least = new LinkedHashMap<>();
+        for (TaskState task : runner.tasks.values()) {
+            if (task.serves()) {
+                boolean measured = nowMs - task.idleSlackAtMs < MEASUREMENT_VALID_MS;
+                double idleSlack =
+                        measured ? task.idleSlack : disturbance.idleSlack(task.image(), task.name.jobId(), nowMs);
+                least.merge(task.image(), idleSlack - Disturbance.BOUND, Math::min);
+            }
+        }
+        least.replaceAll((image, left) -> left - pressureOn(runner, image));
+        runner.headroom = least;
+        return least;
     }
 
-    /** Returns how much the tasks that fill on a runner would raise the tail of a task that serves. */
-    private double raiseBy(RunnerState runner, TaskState serving) {
+    /** Returns the pressure on an image by all that fills on a runner, at its full pace. */
+    private double pressureOn(RunnerState runner, String serving) {
         double capacity = Math.max(1, runner.capacity().processorsMillicores());
-        double raise = 0;
+        double pressure = 0;
         for (Map.Entry<String, Long> filling : runner.fillingImages.entrySet()) {
-            raise += disturbance.raise(serving.image(), filling.getKey(), filling.getValue() / capacity);
+            pressure += disturbance.pressure(serving, filling.getKey(), filling.getValue() / capacity);
+        }
+        return pressure;
+    }
+
+    /** Returns the largest part of the slack left on a runner that a task that fills would take. */
+    private double partOfHeadroom(TaskState task, RunnerState runner, long nowMs) {
+        double largest = 0;
+        for (Map.Entry<String, Double> served : headroom(runner, nowMs).entrySet()) {
+            double pressure = disturbance.pressure(served.getKey(), task.image(), task.share(runner));
+            largest = Math.max(largest, pressure / Math.max(PLACEMENT_MARGIN, served.getValue()));
         }
-        return raise;
+        return largest;
     }
 
     /** Returns how alike a serving task and those on a runner are, judged by the least alike one. */
@@ -134,16 +155,18 @@
         return least;
     }
 
-    private double score(TaskState task, RunnerState runner, RunnerEntry entry) {
+    private double score(TaskState task, RunnerState runner, RunnerEntry entry, long nowMs) {
         StepSpec spec = task.step.spec;
         double capacity = Math.max(1, entry.capacity().processorsMillicores());
         double idle = runner.idleMillicores() / capacity;
         double score = -FAILURE_PENALTY * runner.failures;
         if (spec.is(Trait.FILLS)) {
-            score += idle - DISTURBANCE_WEIGHT * raise(task, runner);
-        } else if (spec.serving().targetTailMs() > 0) {
+            score += idle - DISTURBANCE_WEIGHT * partOfHeadroom(task, runner, nowMs);
+        } else if (task.serves()) {
             double used = runner.counted.processorsMillicores() / capacity;
-            score += used + LIKENESS_WEIGHT * likeness(task, runner) - DISTURBANCE_WEIGHT * raiseBy(runner, task);
+            score += used
+                    + LIKENESS_WEIGHT * likeness(task, runner)
+                    - DISTURBANCE_WEIGHT * pressureOn(runner, task.image());
         } else {
             score += idle + (runner.serving() > 0 ? 1 : 0);
         }
--- a/core/src/main/java/org/pollensill/dispatch/RunnerState.java
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerState.java
@@ -36,6 +36,8 @@
     final Map<String, Long> fillingImages = new LinkedHashMap<>();
     /** Number of tasks that serve, by image. */
     final Map<String, Integer> servingImages = new LinkedHashMap<>();
+    /** Slack that is left beside what fills, by serving image; null when it has to be computed anew. */
+    Map<String, Double> headroom;
 
     /** Whether the runner has answered to this leader's fencing token. */
     boolean fenced;
@@ -83,7 +85,13 @@
         count(task, -1);
     }
 
+    /** Notes that tasks or measurements have changed. */
+    void headroomChanged() {
+        headroom = null;
+    }
+
     private void count(TaskState task, int sign) {
+        headroomChanged();
         Resources need = task.step.spec.counted();
         counted = sign > 0 ? counted.plus(need) : counted.minus(need);
         if (task.step.spec.is(Trait.FILLS)) {
@@ -92,7 +100,7 @@
             fillingImages.merge(task.image(), millicores, Long::sum);
             fillingImages.values().removeIf(left -> left <= 0);
         }
-        if (task.step.spec.serving().targetTailMs() > 0) {
+        if (task.serves()) {
             servingImages.merge(task.image(), sign, Integer::sum);
             servingImages.values().removeIf(count -> count <= 0);
             servingMillicores += sign * need.processorsMillicores();
--- a/core/src/main/java/org/pollensill/dispatch/Scheduling.java
+++ b/core/src/main/java/org/pollensill/dispatch/Scheduling.java
@@ -54,6 +54,12 @@
         }
     }
 
+    /** Returns whether a task could run on another runner than the one that holds it. */
+    boolean hasOtherPlace(TaskState task, long nowMs) {
+        Optional<RunnerState> other = placement.choose(task, fleet.all(), Optional.empty(), nowMs);
+        return other.isPresent() && other.get() != task.runner;
+    }
+
     private void commitTo(TaskState task, RunnerState runner, long nowMs) {
         task.placeOn(runner, nowMs);
         recorder.placed(task);
--- a/core/src/main/java/org/pollensill/dispatch/Sharing.java
+++ b/core/src/main/java/org/pollensill/dispatch/Sharing.java
@@ -1,37 +1,42 @@
 package org.pollensill.dispatch;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
 import org.pollensill.job.Trait;
 import org.pollensill.runner.RunnerReport;
 
 /**
- * Restrains tasks that fill where they disturb tasks that serve. Learns from the reported tails which image disturbs
- * which, pauses the likeliest disturbers first, lets them work again by steps, and moves those that had to pause.
+ * Restrains tasks that fill where they disturb tasks that serve. Learns from the reported tails, sets the paces of the
+ * tasks that fill so that the expected slack of each serving task stays above its bound, and moves those that could
+ * hardly work.
  */
 final class Sharing {
 
-    /** Part of its bound at which a tail counts as disturbed. */
-    private static final double DISTURBED = 1.0;
+    /** Slack above the bound below which paces are lowered: the drift of a load within half a second. */
+    private static final double LEAST_MARGIN = 0.2;
 
-    /** Part of its bound below which a tail leaves room for more. */
-    private static final double EASY = 0.6;
+    /** Slack above the bound that must be left when paces are raised. */
+    private static final double RAISE_MARGIN = 0.35;
 
-    /** Disturbers of at least this part of the largest contribution pause together. */
-    private static final double SUSPECTED = 0.3;
+    /** Contribution to the pressure that is too small to restrain a task for it. */
+    private static final double NEGLIGIBLE = 0.02;
 
-    /** Raise of a tail that is too small to tell who caused it. */
-    private static final double UNEXPLAINED = 0.05;
+    /** Paces are multiples of this; a smaller one is a pause. */
+    private static final int PACE_STEP = 10;
 
-    private static final int FASTER = 50;
+    /** Least raise of a pace that is worth an order. */
+    private static final int LEAST_RAISE = 20;
 
-    /** Least time between two changes of a task's pace; a change shows after half a second. */
-    private static final long CHANGE_EVERY_MS = 700;
+    /** Least time between two raises of a task's pace; a change shows after half a second. */
+    private static final long RAISE_EVERY_MS = 500;
 
-    /** A task that has paused this long is moved. */
+    /** A task at this pace or below hardly works. */
+    private static final int HARDLY_WORKS = 30;
+
+    /** A task that has hardly worked this long is moved where there is a better place. */
     private static final long MOVE_AFTER_MS = 1_000;
 
     /** Time over which reported tails are measured. */
@@ -40,11 +45,22 @@
     private final Orders orders;
     private final Reports reports;
     private final Disturbance disturbance;
+    private final OtherPlaces otherPlaces;
+
+    /** Tells whether a task could run on another runner. */
+    @FunctionalInterface
+    interface OtherPlaces {
+        boolean hasOne(TaskState task, long nowMs);
+    }
+
+    /** A serving task and the slack that it would have without tasks that fill. */
+    private record Served(String image, double idleSlack) {}
 
-    Sharing(Orders orders, Reports reports, Disturbance disturbance) {
+    Sharing(Orders orders, Reports reports, Disturbance disturbance, OtherPlaces otherPlaces) {
         this.orders = orders;
         this.reports = reports;
         this.disturbance = disturbance;
+        this.otherPlaces = otherPlaces;
     }
 
     void apply(RunnerState runner, RunnerReport report, long nowMs) {
@@ -53,24 +69,35 @@
         if (runner.serving() == 0) {
             return;
         }
-        double worst = 0;
-        Optional<TaskState> victim = Optional.empty();
+        List<Served> served = new ArrayList<>();
+        boolean overBound = false;
         for (RunnerReport.RunningTask row : report.running()) {
             TaskState task = runner.tasks.get(row.task());
-            if (task == null || task.step.spec.serving().targetTailMs() <= 0 || row.figure() <= 0) {
+            if (task == null || !task.serves() || row.figure() <= 0) {
                 continue;
             }
-            double part = (double) row.figure() / task.step.spec.serving().targetTailMs();
-            disturbance.observe(task.image(), shares, part);
-            if (part > worst) {
-                worst = part;
-                victim = Optional.of(task);
-            }
+            double slack = (double) task.step.spec.serving().targetTailMs() / row.figure();
+            String job = task.name.jobId();
+            disturbance.observe(task.image(), job, shares, slack, nowMs);
+            double ofJob = disturbance.idleSlack(task.image(), job, nowMs);
+            task.idleSlack = Math.min(ofJob, slack + disturbance.pressure(task.image(), shares));
+            task.idleSlackAtMs = nowMs;
+            served.add(new Served(task.image(), task.idleSlack));
+            overBound |= slack < Disturbance.BOUND;
+        }
+        runner.headroomChanged();
+        if (filling.isEmpty() || served.isEmpty()) {
+            return;
         }
-        if (worst >= DISTURBED) {
-            pause(runner, filling, victim.get(), nowMs);
-        } else if (worst < EASY) {
-            release(runner, filling, nowMs);
+        int[] least = paces(runner, filling, served, LEAST_MARGIN, overBound);
+        int[] raised = paces(runner, filling, served, RAISE_MARGIN, overBound);
+        for (int i = 0; i < least.length; i++) {
+            TaskState task = filling.get(i);
+            if (task.pace > least[i]) {
+                setPace(runner, task, least[i], nowMs);
+            } else if (raised[i] - task.pace >= LEAST_RAISE && nowMs - task.paceChangedAtMs >= RAISE_EVERY_MS) {
+                setPace(runner, task, raised[i], nowMs);
+            }
         }
         move(filling, nowMs);
     }
@@ -98,37 +125,61 @@
         return runner.recentShares;
     }
 
-    private void pause(RunnerState runner, List<TaskState> filling, TaskState victim, long nowMs) {
-        double largest = 0;
-        for (TaskState task : filling) {
-            if (task.pace > 0) {
-                largest = Math.max(largest, contribution(runner, task, victim));
+    /** Returns the paces that leave each serving task a margin: the largest contributions are lowered first. */
+    private int[] paces(
+            RunnerState runner, List<TaskState> filling, List<Served> served, double margin, boolean overBound) {
+        int count = filling.size();
+        double[] pace = new double[count];
+        Arrays.fill(pace, 1);
+        boolean explained = true;
+        for (Served task : served) {
+            double[] contribution = new double[count];
+            double excess = Disturbance.BOUND + margin - task.idleSlack();
+            for (int i = 0; i < count; i++) {
+                contribution[i] = disturbance.pressure(
+                        task.image(), filling.get(i).image(), filling.get(i).share(runner));
+                excess += contribution[i] * pace[i];
             }
-        }
-        for (TaskState task : filling) {
-            boolean suspected = largest < UNEXPLAINED || contribution(runner, task, victim) >= SUSPECTED * largest;
-            if (task.pace > 0 && suspected) {
-                setPace(runner, task, 0, nowMs);
+            while (excess > 0) {
+                int largest = largest(contribution, pace);
+                if (largest < 0) {
+                    explained = false;
+                    break;
+                }
+                double part = contribution[largest] * pace[largest];
+                double cut = Math.min(part, excess);
+                pace[largest] -= cut / contribution[largest];
+                excess -= cut;
             }
         }
+        int[] percent = new int[count];
+        for (int i = 0; i < count; i++) {
+            // Where a tail is over its bound for no reason that is known, all that fills rests.
+            boolean rests = overBound && !explained;
+            percent[i] = rests ? 0 : (int) (pace[i] * TaskState.FULL_PACE / PACE_STEP) * PACE_STEP;
+        }
+        return percent;
     }
 
-    private double contribution(RunnerState runner, TaskState filling, TaskState victim) {
-        return disturbance.raise(victim.image(), filling.image(), filling.share(runner));
-    }
-
-    private void release(RunnerState runner, List<TaskState> filling, long nowMs) {
-        for (TaskState task : filling) {
-            if (task.pace < TaskState.FULL_PACE && nowMs - task.paceChangedAtMs >= CHANGE_EVERY_MS) {
-                setPace(runner, task, Math.min(TaskState.FULL_PACE, task.pace + FASTER), nowMs);
+    private static int largest(double[] contribution, double[] pace) {
+        int largest = -1;
+        double most = NEGLIGIBLE;
+        for (int i = 0; i < contribution.length; i++) {
+            if (contribution[i] * pace[i] > most) {
+                most = contribution[i] * pace[i];
+                largest = i;
             }
         }
+        return largest;
     }
 
     private void setPace(RunnerState runner, TaskState task, int percent, long nowMs) {
         if (task.pace == 0) {
             task.progressAtMs = nowMs;
         }
+        if (task.pace > HARDLY_WORKS && percent <= HARDLY_WORKS) {
+            task.hardlyWorksSinceMs = nowMs;
+        }
         task.pace = percent;
         task.paceChangedAtMs = nowMs;
         runner.address().ifPresent(to -> orders.pace(to, task.name, task.run, percent));
@@ -136,8 +187,8 @@
 
     private void move(List<TaskState> filling, long nowMs) {
         for (TaskState task : filling) {
-            boolean paused = task.pace == 0 && nowMs - task.paceChangedAtMs >= MOVE_AFTER_MS;
-            if (paused && task.step.spec.is(Trait.CHECKPOINTS)) {
+            boolean hardlyWorks = task.pace <= HARDLY_WORKS && nowMs - task.hardlyWorksSinceMs >= MOVE_AFTER_MS;
+            if (hardlyWorks && task.step.spec.is(Trait.CHECKPOINTS) && otherPlaces.hasOne(task, nowMs)) {
                 task.avoidRunner = task.runner.id;
                 reports.stop(task, DispatchListener.Cause.DISTURBS, nowMs);
             }
--- a/core/src/main/java/org/pollensill/dispatch/TaskState.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskState.java
@@ -48,12 +48,24 @@
     long progressAtMs;
     int pace = FULL_PACE;
     long paceChangedAtMs;
+    /** Since when the pace is so low that the task hardly works. */
+    long hardlyWorksSinceMs;
+
+    /** Slack of a serving task without tasks that fill, as last measured. */
+    double idleSlack;
+
+    long idleSlackAtMs = Long.MIN_VALUE / 2;
 
     TaskState(StepState step, int index) {
         this.step = step;
         this.name = new TaskName(step.job.request.id(), step.occurrence, step.number, index);
     }
 
+    /** Returns whether the task serves users of its own under a bound of its tail. */
+    boolean serves() {
+        return step.spec.serving().targetTailMs() > 0;
+    }
+
     String image() {
         return step.spec.serving().image().orElse("");
     }
@@ -77,6 +89,7 @@
         pace = FULL_PACE;
         paceChangedAtMs = nowMs;
         startedAtMs = nowMs;
+        idleSlackAtMs = Long.MIN_VALUE / 2;
         progressAtMs = nowMs;
         runner = chosen;
         chosen.add(this);
