Let serving tasks join runners that serve their image already

Change: among runners with room, one that serves the image already is better than an empty one, which is better than one that would become mixed.

--- a/core/src/main/java/org/pollensill/dispatch/Placement.java
+++ b/core/src/main/java/org/pollensill/dispatch/Placement.java
@@ -26,6 +26,9 @@
     /** How much it counts that tasks that serve together are disturbed by the same images. */
     private static final double LIKENESS_WEIGHT = 2;
 
+    /** What each further image takes from the likeness of a runner that serves a task's image already. */
+    private static final double OTHER_IMAGE_PENALTY = 0.1;
+
     /** An empty runner is better than one that serves something unlike. */
     private static final double EMPTY_LIKENESS = 0.5;
 
@@ -152,9 +155,15 @@
         return largest;
     }
 
-    /** Returns how alike a serving task and those on a runner are, judged by the least alike one. */
+    /** Returns how well a serving task goes with those on a runner, which would be disturbed by the same images. */
     private double likeness(TaskState task, RunnerState runner) {
-        double least = runner.serving() > 0 ? 1 : EMPTY_LIKENESS;
+        if (runner.serving() == 0) {
+            return EMPTY_LIKENESS;
+        }
+        if (runner.servingImages.containsKey(task.image())) {
+            return 1 - OTHER_IMAGE_PENALTY * (runner.serving() - 1);
+        }
+        double least = 1;
         for (String serving : runner.servingImages.keySet()) {
             least = Math.min(least, disturbance.likeness(serving, task.image()));
         }
