--- a/coordinator/src/main/java/org/pollensill/coordinator/Leadership.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Leadership.java
@@ -33,6 +33,9 @@
     /** A candidate holds back by this many of its round trips to the store, so that the nearest strong one wins. */
     private static final long ROUND_TRIPS_TO_HOLD_BACK = 15;
 
+    /** Longest time that a candidate leaves to better ones; the first calls of a new process are slow everywhere. */
+    private static final long LONGEST_PREFERENCE_MS = 400;
+
     private static final int RANDOM_DELAY_MS = 60;
 
     private final Loop loop;
@@ -90,6 +93,7 @@
 
     void setCatalogue(QueueCatalogue catalogue) {
         session.ifPresent(running -> running.setCatalogue(catalogue));
+        considerCampaign();
     }
 
     /** Notes that the leader's process has ended or given up its lease, and looks at the row at once. */
@@ -170,7 +174,8 @@
         if (campaigning || stopping || session.isPresent() || config.current().isEmpty()) {
             return;
         }
-        long holdBackMs = (long) (ROUND_TRIPS_TO_HOLD_BACK * health.roundTripMs() / settings.strength())
+        long preferenceMs = (long) (ROUND_TRIPS_TO_HOLD_BACK * health.roundTripMs() / settings.strength());
+        long holdBackMs = Math.min(LONGEST_PREFERENCE_MS, preferenceMs)
                 + ThreadLocalRandom.current().nextInt(RANDOM_DELAY_MS);
         if (watch.shouldCampaign(loop.nowMs(), holdBackMs)) {
             campaign();
--- a/coordinator/src/main/java/org/pollensill/coordinator/StoreHealth.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/StoreHealth.java
@@ -16,13 +16,17 @@
     /** Calls in a row that must fail before the store counts as lost. */
     private static final int FAILURES_TO_LOSE = 2;
 
-    /** Weight of the newest call in the smoothed round trip. */
-    private static final double SMOOTHING = 0.2;
+    /** Calls of which the fastest tells the way to the store; the first ones of a new process are slow. */
+    private static final int RECENT_CALLS = 5;
+
+    /** Round trip that is assumed before the first call: a store in the same region. */
+    private static final long ASSUMED_MS = 5;
 
     private final LongSupplier clockMs;
     private int failures;
     private boolean lost;
-    private double roundTripMs = 5;
+    private final long[] recentMs = new long[RECENT_CALLS];
+    private int calls;
 
     StoreHealth(LongSupplier clockMs) {
         this.clockMs = Objects.requireNonNull(clockMs, "clockMs is null");
@@ -33,7 +37,7 @@
         long sentMs = clockMs.getAsLong();
         call.whenComplete((answer, failure) -> {
             if (failure == null) {
-                roundTripMs += SMOOTHING * (clockMs.getAsLong() - sentMs - roundTripMs);
+                recentMs[calls++ % recentMs.length] = clockMs.getAsLong() - sentMs;
                 answered();
             } else {
                 failed(failure);
@@ -77,8 +81,15 @@
         return !lost;
     }
 
-    /** Returns the smoothed time of a call. */
+    /** Returns the time of the fastest recent call. */
     long roundTripMs() {
-        return Math.max(1, (long) roundTripMs);
+        if (calls == 0) {
+            return ASSUMED_MS;
+        }
+        long fastestMs = Long.MAX_VALUE;
+        for (int i = 0; i < Math.min(calls, recentMs.length); i++) {
+            fastestMs = Math.min(fastestMs, recentMs[i]);
+        }
+        return Math.max(1, fastestMs);
     }
 }
--- a/coordinator/src/test/java/org/pollensill/coordinator/StoreHealthTest.java
+++ b/coordinator/src/test/java/org/pollensill/coordinator/StoreHealthTest.java
@@ -42,6 +42,13 @@
             assertTrue(health.roundTripMs() <= 5, "round trip " + health.roundTripMs());
         }
 
+        @Test
+        void shouldNotTakeASlowFirstCallForTheWayToTheStore() {
+            call(200);
+            call(5);
+            assertEquals(5, health.roundTripMs());
+        }
+
         @Test
         void shouldFollowASlowStore() {
             for (int i = 0; i < 20; i++) {
@@ -75,7 +82,6 @@
             waitingCall(1_000);
             fail();
             assertTrue(health.available());
-            assertEquals(5, health.roundTripMs());
         }
     }
 }
