Start the steps of jobs that can meet their objective before those of late ones

Change: the order is by lateness (in time, late, hopeless), then priority, short before others, lasting jobs with the fewest tasks, deadline. Tests: DispatcherTest.Order.

--- a/core/src/main/java/org/pollensill/dispatch/JobState.java
+++ b/core/src/main/java/org/pollensill/dispatch/JobState.java
@@ -75,6 +75,33 @@
         return addedAtMs + objectiveMs;
     }
 
+    /** Returns 0 where the job can be expected to meet its objective, 1 where it will be late, 2 where it earns nothing. */
+    int lateness(long nowMs) {
+        if (!canStillEarn(nowMs)) {
+            return 2;
+        }
+        return nowMs + remainingChainMs() <= deadlineMs() ? 0 : 1;
+    }
+
+    /** Returns the estimated time of the longest chain of steps that are not complete. */
+    private long remainingChainMs() {
+        int each = request.steps().size();
+        long longestMs = 0;
+        long[] endMs = new long[steps.size()];
+        for (int i = 0; i < endMs.length; i++) {
+            StepState step = steps.get(i);
+            long beginMs = 0;
+            for (int before : step.spec.after()) {
+                if (before >= 0 && before < step.number) {
+                    beginMs = Math.max(beginMs, endMs[i - i % each + before]);
+                }
+            }
+            endMs[i] = beginMs + (step.complete() ? 0 : step.spec.estimateMs());
+            longestMs = Math.max(longestMs, endMs[i]);
+        }
+        return longestMs;
+    }
+
     boolean canStillEarn(long nowMs) {
         return nowMs < addedAtMs + LATE_FACTOR * objectiveMs;
     }
--- a/core/src/main/java/org/pollensill/dispatch/JobTable.java
+++ b/core/src/main/java/org/pollensill/dispatch/JobTable.java
@@ -25,11 +25,28 @@
     /** Objective of a job whose queue is not configured any more. */
     private static final long DEFAULT_OBJECTIVE_MS = 10_000;
 
-    private static final Comparator<StepState> BY_URGENCY = Comparator.<StepState>comparingInt(
-                    step -> step.job.priority)
-            .thenComparing(step -> !step.isShort())
-            .thenComparingDouble(step -> step.spec.is(Trait.RESTART_ALWAYS) ? step.heldPart() : 0)
-            .thenComparingLong(step -> step.job.deadlineMs());
+    private static final Comparator<Ranked> BY_URGENCY = Comparator.<Ranked>comparingInt(Ranked::lateness)
+            .thenComparingInt(ranked -> ranked.step().job.priority)
+            .thenComparing(ranked -> !ranked.step().isShort())
+            .thenComparingDouble(Ranked::heldPart)
+            .thenComparingLong(ranked -> ranked.step().job.deadlineMs());
+
+    /**
+     * A step with what its place in the order depends on.
+     *
+     * @param step the step
+     * @param lateness 0 where the job can meet its objective, 1 where it earns less, 2 where it earns nothing any more
+     * @param heldPart part of the tasks that runners hold, of a step that lasts
+     */
+    private record Ranked(StepState step, int lateness, double heldPart) {
+
+        private static Ranked of(StepState step, long nowMs) {
+            if (step.spec.is(Trait.RESTART_ALWAYS)) {
+                return new Ranked(step, 0, step.heldPart());
+            }
+            return new Ranked(step, step.job.lateness(nowMs), 0);
+        }
+    }
 
     private final Map<String, JobState> jobs = new LinkedHashMap<>();
     private final Set<StepState> ready = new LinkedHashSet<>();
@@ -178,21 +195,23 @@
         }
     }
 
-    /** Returns the steps with tasks that may start, most urgent first; jobs that cannot earn any more come last. */
+    /** Returns the steps with tasks that may start, most urgent first. Jobs that can still meet their objective come before those that are late. */
     List<StepState> readySteps(long nowMs) {
-        List<StepState> steps = new ArrayList<>();
-        List<StepState> late = new ArrayList<>();
+        List<Ranked> ranked = new ArrayList<>();
         for (StepState step : new ArrayList<>(ready)) {
             if (step.job.status.isFinal() || step.complete()) {
                 ready.remove(step);
                 continue;
             }
-            boolean lasting = step.spec.is(Trait.RESTART_ALWAYS);
-            (lasting || step.job.canStillEarn(nowMs) ? steps : late).add(step);
+            if (step.hasWaiting(nowMs)) {
+                ranked.add(Ranked.of(step, nowMs));
+            }
+        }
+        ranked.sort(BY_URGENCY);
+        List<StepState> steps = new ArrayList<>();
+        for (Ranked next : ranked) {
+            steps.add(next.step());
         }
-        steps.sort(BY_URGENCY);
-        late.sort(BY_URGENCY);
-        steps.addAll(late);
         return steps;
     }
 
--- a/core/src/main/java/org/pollensill/dispatch/StepState.java
+++ b/core/src/main/java/org/pollensill/dispatch/StepState.java
@@ -34,6 +34,16 @@
         return done == tasks.size();
     }
 
+    /** Returns whether a task may be placed now. */
+    boolean hasWaiting(long nowMs) {
+        for (TaskState task : tasks) {
+            if (task.phase == TaskState.Phase.WAITING && nowMs >= task.notBeforeMs) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Returns which part of the tasks runners hold. */
     double heldPart() {
         int held = 0;
--- a/core/src/test/java/org/pollensill/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/DispatcherTest.java
@@ -208,6 +208,32 @@
         }
     }
 
+    @Nested
+    class Order {
+
+        @Test
+        void shouldPreferAJobThatCanMeetItsObjectiveToOneThatIsLate() {
+            lead("r1");
+            // The objective of both is 2 x 1,000 + 500 ms.
+            dispatcher.addJob(Samples.job("aaaaaaaaaaaaaaaa", Samples.step(4)), Optional.empty(), T0 - 2_000);
+            dispatcher.addJob(Samples.job("bbbbbbbbbbbbbbbb", Samples.step(4)), Optional.empty(), T0);
+            commit(T0);
+            assertEquals(4, orders.starts.size());
+            for (RecordedOrders.Start start : orders.starts) {
+                assertEquals("bbbbbbbbbbbbbbbb", start.order().task().jobId());
+            }
+        }
+
+        @Test
+        void shouldPreferTheNearerDeadlineOfTwoThatCanBeMet() {
+            lead("r1");
+            dispatcher.addJob(Samples.job("bbbbbbbbbbbbbbbb", Samples.step(4)), Optional.empty(), T0);
+            dispatcher.addJob(Samples.job("aaaaaaaaaaaaaaaa", Samples.step(4)), Optional.empty(), T0 - 500);
+            commit(T0);
+            assertEquals("aaaaaaaaaaaaaaaa", orders.starts.get(0).order().task().jobId());
+        }
+    }
+
     @Nested
     class Ends {
 
