--- a/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.pollensill.adapter.ClientCodec;
+import org.pollensill.adapter.HttpAdviceService;
 import org.pollensill.adapter.HttpRowStore;
 import org.pollensill.adapter.HttpRunnerService;
 import org.pollensill.coordinator.peer.PeerServer;
@@ -76,7 +77,14 @@
         RowStore store = HttpRowStore.of(path, settings.storeAddress(), STORE_TIMEOUT_MS);
         RunnerService runners = HttpRunnerService.of(client::send, ORDER_TIMEOUT_MS);
         CoordinatorMetrics metrics = new CoordinatorMetrics(PrometheusRegistry.defaultRegistry);
-        CoordinatorContext context = new CoordinatorContext(loop, store, health, runners, settings, metrics);
+        CoordinatorContext context = new CoordinatorContext(
+                loop,
+                store,
+                health,
+                runners,
+                settings.adviceAddress().map(address -> HttpAdviceService.of(client::send, address)),
+                settings,
+                metrics);
         this.config = new ConfigFollower(loop, store, health, catalogue -> {
             metrics.configuration(catalogue.version());
             applyCatalogue(catalogue);
--- a/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorContext.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorContext.java
@@ -1,8 +1,10 @@
 package org.pollensill.coordinator;
 
 import java.util.Objects;
+import java.util.Optional;
 
 import org.pollensill.platform.RowStore;
+import org.pollensill.runner.AdviceService;
 import org.pollensill.runner.RunnerService;
 
 /**
@@ -12,6 +14,7 @@
  * @param store the platform's store
  * @param health whether the store answers
  * @param runners takes orders to runners
+ * @param advice tells which runners may run a step, empty where the platform has no such service
  * @param settings the settings
  * @param metrics counters and histograms
  */
@@ -20,6 +23,7 @@
         RowStore store,
         StoreHealth health,
         RunnerService runners,
+        Optional<AdviceService> advice,
         CoordinatorSettings settings,
         CoordinatorMetrics metrics) {
 
@@ -33,6 +37,7 @@
         Objects.requireNonNull(store, "store is null");
         Objects.requireNonNull(health, "health is null");
         Objects.requireNonNull(runners, "runners is null");
+        Objects.requireNonNull(advice, "advice is null");
         Objects.requireNonNull(settings, "settings is null");
         Objects.requireNonNull(metrics, "metrics is null");
     }
--- a/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorEvent.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorEvent.java
@@ -62,6 +62,8 @@
     TASK_DONE(7032, Level.INFO, "task done"),
     /** A run was lost or given up. */
     RUN_LOST(7033, Level.INFO, "run lost"),
+    /** The advice service has answered for a step. */
+    ADVICE(7035, Level.INFO, "advice received"),
     /** A runner is set aside. */
     RUNNER_SET_ASIDE(7034, Level.WARN, "runner set aside"),
     /** The settings were read again. */
--- a/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorSettings.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorSettings.java
@@ -24,6 +24,7 @@
  * @param peerAddress where other coordinators connect
  * @param storeAddress the platform's store
  * @param metricsAddress where metrics are served, empty for nowhere
+ * @param adviceAddress the service that tells which runners may run a step, empty where there is none
  * @param stopWithinMs longest time of a graceful shutdown
  * @param keepEndedMs how long the state of an ended job stays known
  * @param maxRowBytes largest row of the store
@@ -38,6 +39,7 @@
         InetSocketAddress peerAddress,
         InetSocketAddress storeAddress,
         Optional<InetSocketAddress> metricsAddress,
+        Optional<InetSocketAddress> adviceAddress,
         long stopWithinMs,
         long keepEndedMs,
         long maxRowBytes,
@@ -72,6 +74,7 @@
         Objects.requireNonNull(peerAddress, "peerAddress is null");
         Objects.requireNonNull(storeAddress, "storeAddress is null");
         Objects.requireNonNull(metricsAddress, "metricsAddress is null");
+        Objects.requireNonNull(adviceAddress, "adviceAddress is null");
         Objects.requireNonNull(logLevel, "logLevel is null");
     }
 
@@ -112,6 +115,7 @@
         Optional<InetSocketAddress> peer = reader.address("peerAddress", true);
         Optional<InetSocketAddress> store = reader.address("storeAddress", true);
         Optional<InetSocketAddress> metrics = reader.address("metricsAddress", false);
+        Optional<InetSocketAddress> advice = reader.address("adviceAddress", false);
         long stopWithinMs = reader.number("stopWithinMs", DEFAULT_STOP_WITHIN_MS);
         long keepEndedMs = reader.number("keepEndedMs", DEFAULT_KEEP_ENDED_MS);
         long maxRowBytes = reader.number("maxRowBytes", DEFAULT_MAX_ROW_BYTES);
@@ -128,6 +132,7 @@
                 peer.get(),
                 store.get(),
                 metrics,
+                advice,
                 stopWithinMs,
                 keepEndedMs,
                 maxRowBytes,
--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 
 import org.pollensill.adapter.RunnerEntryCodec;
+import org.pollensill.dispatch.AdviceRequest;
 import org.pollensill.dispatch.Batch;
 import org.pollensill.dispatch.Dispatcher;
 import org.pollensill.job.JobCodec;
@@ -18,6 +19,8 @@
 import org.pollensill.platform.RowStore;
 import org.pollensill.platform.Write;
 import org.pollensill.queue.QueueCatalogue;
+import org.pollensill.runner.AdviceAnswer;
+import org.pollensill.runner.AdviceService;
 import org.pollensill.runner.RunnerEntry;
 import org.pollensill.runtime.event.EventLog;
 
@@ -48,6 +51,7 @@
     private final RowStore store;
     private final StoreHealth health;
     private final CoordinatorSettings settings;
+    private final Optional<AdviceService> advice;
     private final TableReader reader;
     private final Committer committer;
     private final OrderSender orders;
@@ -69,6 +73,7 @@
         this.store = context.store();
         this.health = context.health();
         this.settings = context.settings();
+        this.advice = context.advice();
         this.reader = new TableReader(loop, store, health, () -> stopped);
         this.tookOverAtMs = loop.nowMs();
         this.committer = new Committer(context, chain, onDeposed, this::pump);
@@ -241,11 +246,38 @@
         }
         if (!releasing) {
             dispatcher.tick(loop.nowMs(), loop.wallMs(), committer.mayExtendLeases());
+            askAdvice();
             pump();
         }
         loop.after(TICK_MS, this::tick);
     }
 
+    private void askAdvice() {
+        if (stopped || releasing || advice.isEmpty()) {
+            return;
+        }
+        Optional<AdviceRequest> next = dispatcher.nextAdvice(loop.nowMs());
+        if (next.isEmpty()) {
+            return;
+        }
+        AdviceRequest request = next.get();
+        advice.get()
+                .advise(request.name(), request.runnerIds(), request.timeoutMs())
+                .thenAccept(answer -> loop.run(() -> {
+                    LOG.log(CoordinatorEvent.ADVICE, "step", request.name(), "answer", summary(answer));
+                    dispatcher.onAdvice(request, answer, loop.nowMs());
+                    askAdvice();
+                    pump();
+                }));
+    }
+
+    private static String summary(AdviceAnswer answer) {
+        if (answer instanceof AdviceAnswer.Decided decided) {
+            return decided.tickets().size() + " allowed for " + decided.validMs() + " ms";
+        }
+        return answer instanceof AdviceAnswer.Failed failed ? failed.problem() : "too many calls";
+    }
+
     /** Commits what the dispatcher has decided, as soon as a commit may begin. */
     private void pump() {
         if (stopped || releasing || committer.busy()) {
--- a/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
@@ -12,6 +12,7 @@
 import org.pollensill.job.TaskName;
 import org.pollensill.json.JsonSyntaxException;
 import org.pollensill.queue.QueueCatalogue;
+import org.pollensill.runner.AdviceAnswer;
 import org.pollensill.runner.HoldAnswer;
 import org.pollensill.runner.OrderAnswer;
 import org.pollensill.runner.OrderOutcome;
@@ -34,6 +35,7 @@
     private final Sharing sharing;
     private final Scheduling scheduling;
     private final Upkeep upkeep;
+    private final Advising advising;
     private boolean begun;
 
     private Dispatcher(
@@ -49,6 +51,7 @@
         this.scheduling =
                 new Scheduling(jobs, fleet, recorder, placement, new RoomMaker(fleet, placement, reports), listener);
         this.sharing = new Sharing(orders, reports, disturbance, scheduling::hasOtherPlace);
+        this.advising = new Advising(jobs, fleet);
         this.upkeep = new Upkeep(jobs, fleet, reports, health, orders, fence);
     }
 
@@ -305,6 +308,27 @@
         upkeep.tick(nowMs, mayExtend);
     }
 
+    /**
+     * Returns the next call for advice, if one is due; the next one is due after its answer.
+     *
+     * @param nowMs the time
+     * @return the call
+     */
+    public Optional<AdviceRequest> nextAdvice(long nowMs) {
+        return begun ? advising.next(nowMs) : Optional.empty();
+    }
+
+    /**
+     * Takes the answer to a call for advice.
+     *
+     * @param request the call
+     * @param answer the answer
+     * @param nowMs the time
+     */
+    public void onAdvice(AdviceRequest request, AdviceAnswer answer, long nowMs) {
+        advising.answered(request, answer, nowMs);
+    }
+
     /**
      * Returns the state of a job that may be shown.
      *
--- a/core/src/main/java/org/pollensill/dispatch/JobState.java
+++ b/core/src/main/java/org/pollensill/dispatch/JobState.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 import org.pollensill.job.JobRecord;
 import org.pollensill.job.JobRequest;
 import org.pollensill.job.JobStatus;
 import org.pollensill.job.TaskRecord;
+import org.pollensill.queue.AdviceTerms;
 
 /** A job in the leader's memory. */
 final class JobState {
@@ -21,6 +23,9 @@
     int priority;
     int attempts = 1;
     String service;
+    /** How advice is asked for, empty where any runner may run the tasks. */
+    Optional<AdviceTerms> advice = Optional.empty();
+
     long addedAtMs;
     long objectiveMs;
     /** The state as decided, perhaps not recorded yet. */
--- a/core/src/main/java/org/pollensill/dispatch/JobTable.java
+++ b/core/src/main/java/org/pollensill/dispatch/JobTable.java
@@ -95,6 +95,7 @@
         job.priority = queue.priority();
         job.attempts = Math.max(1, queue.attempts());
         job.service = queue.service();
+        job.advice = queue.advice();
         job.objectiveMs = (long) (queue.stretch() * job.request.chainMs()) + queue.targetLatencyMs();
     }
 
@@ -215,6 +216,22 @@
         return steps;
     }
 
+    /** Returns the steps of advised queues with waiting tasks, those whose turn has come first. */
+    List<StepState> advisedSteps(long nowMs) {
+        List<StepState> steps = new ArrayList<>();
+        for (StepState step : readySteps(nowMs)) {
+            if (step.job.advice.isPresent()) {
+                steps.add(step);
+            }
+        }
+        for (StepState step : scheduled) {
+            if (step.job.advice.isPresent() && !step.job.status.isFinal()) {
+                steps.add(step);
+            }
+        }
+        return steps;
+    }
+
     void taskDone(TaskState task, long nowMs) {
         StepState step = task.step;
         task.phase = TaskState.Phase.DONE;
--- a/core/src/main/java/org/pollensill/dispatch/Placement.java
+++ b/core/src/main/java/org/pollensill/dispatch/Placement.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.pollensill.job.PlacementRule;
 import org.pollensill.job.StepSpec;
 import org.pollensill.job.Trait;
 import org.pollensill.runner.RunnerEntry;
@@ -92,16 +91,23 @@
         if (!runner.accepts(nowMs) || runner.onTrial()) {
             return false;
         }
-        RunnerEntry entry = runner.entry.get();
-        if (!entry.service().equals(task.step.job.service)) {
+        if (!matches(task.step, runner)) {
             return false;
         }
-        PlacementRule rule = task.step.spec.placement();
-        if (rule.requiredLabel().isPresent()
-                && !entry.labels().contains(rule.requiredLabel().get())) {
+        if (task.step.job.advice.isPresent()
+                && task.step.tickets.forRunner(runner, nowMs).isEmpty()) {
             return false;
         }
-        return rule.maxPerRunner() == 0 || task.step.heldBy(runner) < rule.maxPerRunner();
+        int most = task.step.spec.placement().maxPerRunner();
+        return most == 0 || task.step.heldBy(runner) < most;
+    }
+
+    /** Returns whether a listed runner is of the kind that a step needs. */
+    static boolean matches(StepState step, RunnerState runner) {
+        RunnerEntry entry = runner.entry.get();
+        Optional<String> label = step.spec.placement().requiredLabel();
+        return entry.service().equals(step.job.service)
+                && (label.isEmpty() || entry.labels().contains(label.get()));
     }
 
     /** Returns whether a task that fills would bring a tail near its bound, with those that fill there already. */
--- a/core/src/main/java/org/pollensill/dispatch/Starts.java
+++ b/core/src/main/java/org/pollensill/dispatch/Starts.java
@@ -51,7 +51,7 @@
                         untilMs,
                         fence,
                         task.checkpoint,
-                        Optional.empty()));
+                        task.step.tickets.forRunner(runner, nowMs)));
     }
 
     void onStart(TaskName name, int run, String runnerId, OrderAnswer answer, long nowMs) {
@@ -77,6 +77,9 @@
                 reports.endLife(runner, nowMs);
                 runner.listed = false;
                 return;
+            case NO_TICKET:
+                task.step.tickets.drop(runner.id);
+                break;
             case NO_ROOM:
                 runner.noRoomEndMs = nowMs + DispatchTiming.NO_ROOM_MS;
                 break;
--- a/core/src/main/java/org/pollensill/dispatch/StepState.java
+++ b/core/src/main/java/org/pollensill/dispatch/StepState.java
@@ -17,6 +17,8 @@
     int done;
     boolean ready;
 
+    final Tickets tickets = new Tickets();
+
     /** Since when a place for one of the tasks has been free, 0 while there is none. */
     long placeFreeSinceMs;
 
@@ -34,6 +36,17 @@
         return done == tasks.size();
     }
 
+    /** Counts the tasks that no runner holds. */
+    int waiting() {
+        int waiting = 0;
+        for (TaskState task : tasks) {
+            if (task.phase == TaskState.Phase.WAITING) {
+                waiting++;
+            }
+        }
+        return waiting;
+    }
+
     /** Returns whether a task may be placed now. */
     boolean hasWaiting(long nowMs) {
         for (TaskState task : tasks) {
--- a/core/src/main/java/org/pollensill/queue/QueuePolicy.java
+++ b/core/src/main/java/org/pollensill/queue/QueuePolicy.java
@@ -1,6 +1,7 @@
 package org.pollensill.queue;
 
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * A queue as the operator configured it.
@@ -13,7 +14,7 @@
  * @param attempts most runs of a task that may end as failed
  * @param stretch the objective as a multiple of a job's longest chain of work
  * @param targetLatencyMs what the objective allows beyond that
- * @param advised whether the platform's advice names the runners of each step
+ * @param advice how the advice service names the runners of each step, empty where any runner may run it
  */
 public record QueuePolicy(
         String name,
@@ -24,7 +25,7 @@
         int attempts,
         double stretch,
         long targetLatencyMs,
-        boolean advised) {
+        Optional<AdviceTerms> advice) {
 
     /**
      * Creates a queue.
@@ -36,5 +37,6 @@
         Objects.requireNonNull(host, "host is null");
         Objects.requireNonNull(pathPrefix, "pathPrefix is null");
         Objects.requireNonNull(service, "service is null");
+        Objects.requireNonNull(advice, "advice is null");
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/pollensill/dispatch/AdvisingTest.java
@@ -0,0 +1,160 @@
+package org.pollensill.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pollensill.queue.AdviceTerms;
+import org.pollensill.queue.QueueCatalogue;
+import org.pollensill.queue.QueuePolicy;
+import org.pollensill.runner.AdviceAnswer;
+import org.pollensill.runner.HoldAnswer;
+import org.pollensill.runner.OrderAnswer;
+import org.pollensill.runner.OrderOutcome;
+import org.pollensill.runner.RunnerEntry;
+import org.pollensill.runner.RunnerReport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class AdvisingTest {
+
+    private static final long T0 = 100_000;
+    private static final long CLOCK = 5_000;
+    private static final long VALID_MS = 3_000;
+
+    private final RecordedOrders orders = new RecordedOrders();
+    private final Dispatcher dispatcher = Dispatcher.takeOver(7, T0, 0, "progress/", orders, new QuietListener());
+
+    private void lead(String... ids) {
+        AdviceTerms terms = new AdviceTerms(20, 2, VALID_MS);
+        dispatcher.setCatalogue(new QueueCatalogue(
+                1,
+                List.of(new QueuePolicy(
+                        "matches", "host", "/matches/", "pad-desk", 0, 2, 2.0, 500, Optional.of(terms)))));
+        dispatcher.begin();
+        List<RunnerEntry> entries = new ArrayList<>();
+        for (String id : ids) {
+            entries.add(Samples.runner(id));
+        }
+        dispatcher.updateRunners(entries, T0);
+        dispatcher.tick(T0, T0, true);
+        for (RecordedOrders.Hold hold : List.copyOf(orders.holds)) {
+            RunnerReport report = new RunnerReport(CLOCK, 1, List.of(), List.of());
+            dispatcher.onHold(
+                    hold.to().id(), hold.sequence(), new HoldAnswer(OrderOutcome.ACCEPTED, Optional.of(report)), T0);
+        }
+        dispatcher.addJob(Samples.job("aaaaaaaaaaaaaaaa", Samples.step(1)), Optional.empty(), T0);
+    }
+
+    private void commit(long nowMs) {
+        dispatcher.plan(nowMs).ifPresent(batch -> dispatcher.committed(batch, nowMs));
+    }
+
+    private AdviceRequest ask(long nowMs) {
+        return dispatcher.nextAdvice(nowMs).orElseThrow();
+    }
+
+    private void allow(AdviceRequest request, String runner, long nowMs) {
+        dispatcher.onAdvice(request, new AdviceAnswer.Decided(Map.of(runner, "ticket-" + runner), VALID_MS), nowMs);
+    }
+
+    @Nested
+    class Starts {
+
+        @Test
+        void shouldStartNothingWithoutATicket() {
+            lead("r1", "r2");
+            commit(T0);
+            assertTrue(orders.starts.isEmpty());
+        }
+
+        @Test
+        void shouldStartOnAnAllowedRunnerWithItsTicket() {
+            lead("r1", "r2");
+            allow(ask(T0), "r2", T0 + 24);
+            commit(T0 + 24);
+            assertEquals("r2", orders.starts.get(0).to().id());
+            assertEquals(Optional.of("ticket-r2"), orders.starts.get(0).order().ticket());
+        }
+
+        @Test
+        void shouldAskAgainWhenTheTicketIsAboutToExpire() {
+            lead("r1", "r2");
+            allow(ask(T0), "r2", T0 + 24);
+            long lateMs = T0 + VALID_MS - Tickets.LEAST_LEFT_MS + 1;
+            commit(lateMs);
+            assertTrue(orders.starts.isEmpty());
+            assertEquals(List.of("r2"), ask(lateMs).runnerIds());
+        }
+
+        @Test
+        void shouldNotUseATicketForTheNextLifeOfARunner() {
+            lead("r1");
+            allow(ask(T0), "r1", T0 + 24);
+            dispatcher.updateRunners(List.of(Samples.runner("r1", 2, false)), T0 + 30);
+            dispatcher.tick(T0 + 30, T0 + 30, true);
+            RecordedOrders.Hold hold = orders.holds.get(orders.holds.size() - 1);
+            RunnerReport report = new RunnerReport(CLOCK, 2, List.of(), List.of());
+            dispatcher.onHold(
+                    "r1", hold.sequence(), new HoldAnswer(OrderOutcome.ACCEPTED, Optional.of(report)), T0 + 40);
+            commit(T0 + 41);
+            assertTrue(orders.starts.isEmpty());
+        }
+
+        @Test
+        void shouldAskAgainAfterARefusedTicket() {
+            lead("r1");
+            allow(ask(T0), "r1", T0 + 24);
+            commit(T0 + 24);
+            RecordedOrders.Start start = orders.starts.remove(0);
+            dispatcher.onStart(
+                    start.order().task(),
+                    1,
+                    "r1",
+                    new OrderAnswer(OrderOutcome.NO_TICKET, Optional.of(CLOCK)),
+                    T0 + 30);
+            commit(T0 + 31);
+            assertTrue(orders.starts.isEmpty());
+            assertEquals(List.of("r1"), ask(T0 + 31).runnerIds());
+        }
+    }
+
+    @Nested
+    class Questions {
+
+        @Test
+        void shouldAskOneAtATime() {
+            lead("r1");
+            ask(T0);
+            assertTrue(dispatcher.nextAdvice(T0 + 1).isEmpty());
+        }
+
+        @Test
+        void shouldNotAskAgainForARunnerThatIsNotAllowed() {
+            lead("r1", "r2");
+            dispatcher.onAdvice(ask(T0), new AdviceAnswer.Decided(Map.of(), VALID_MS), T0 + 24);
+            assertTrue(dispatcher.nextAdvice(T0 + 25).isEmpty());
+        }
+
+        @Test
+        void shouldPauseLongerAfterEachRefusal() {
+            lead("r1");
+            dispatcher.onAdvice(ask(T0), new AdviceAnswer.Limited(), T0);
+            assertTrue(dispatcher.nextAdvice(T0 + 99).isEmpty());
+            dispatcher.onAdvice(ask(T0 + 100), new AdviceAnswer.Failed("no answer"), T0 + 100);
+            assertTrue(dispatcher.nextAdvice(T0 + 299).isEmpty());
+            assertTrue(dispatcher.nextAdvice(T0 + 300).isPresent());
+        }
+
+        @Test
+        void shouldNotAskWhileTicketsSuffice() {
+            lead("r1", "r2");
+            allow(ask(T0), "r2", T0 + 24);
+            assertTrue(dispatcher.nextAdvice(T0 + 25).isEmpty());
+        }
+    }
+}
--- a/core/src/test/java/org/pollensill/dispatch/Samples.java
+++ b/core/src/test/java/org/pollensill/dispatch/Samples.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 import org.pollensill.job.JobRequest;
@@ -46,7 +47,9 @@
 
     static QueueCatalogue catalogue(int attempts) {
         return new QueueCatalogue(
-                1, List.of(new QueuePolicy("matches", "host", "/matches/", "pad-desk", 0, attempts, 2.0, 500, false)));
+                1,
+                List.of(new QueuePolicy(
+                        "matches", "host", "/matches/", "pad-desk", 0, attempts, 2.0, 500, Optional.empty())));
     }
 
     static RunnerEntry runner(String id) {
