Notice lost orders sooner

Change: orders wait 350 ms for their answers; for 5 s after one without an answer reports wait 400 ms at most. Tests: DispatcherTest.LostAnswers.

--- a/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
@@ -39,8 +39,8 @@
     /** Longest time of a call to the store: a store that is a hundred times slower than usual still answers. */
     private static final long STORE_TIMEOUT_MS = 1_500;
 
-    /** Longest time of an order to a runner in another region, with a second packet after a loss. */
-    private static final long ORDER_TIMEOUT_MS = 700;
+    /** Longest time of an order to a runner in another region: 20 ms, and 200 ms until a lost packet is sent again. */
+    private static final long ORDER_TIMEOUT_MS = 350;
 
     /** Connections to one runner or to the store; the users' runners take 64 from all coordinators. */
     private static final ClientLimits CLIENT = new ClientLimits(12, 2_048, 800, 60_000, 8 << 20);
--- a/core/src/main/java/org/pollensill/dispatch/DispatchTiming.java
+++ b/core/src/main/java/org/pollensill/dispatch/DispatchTiming.java
@@ -12,8 +12,8 @@
     /** Longest time that a report waits for an end; a third of the lease or less. */
     static final long REPORT_WAIT_MS = 1_200;
 
-    /** Report wait of a runner on which tasks that fill run beside tasks that serve. */
-    static final long SHARED_REPORT_WAIT_MS = 400;
+    /** Report wait where tasks that fill run beside tasks that serve, and while answers are lost. */
+    static final long SHORT_REPORT_WAIT_MS = 400;
 
     /** Pause before a runner that did not answer is asked again. */
     static final long RETRY_MS = 200;
--- a/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
@@ -230,7 +230,7 @@
      * @param nowMs the time
      */
     public void onStart(TaskName name, int run, String runnerId, OrderAnswer answer, long nowMs) {
-        noteFence(runnerId, answer.outcome());
+        noteOutcome(runnerId, answer.outcome(), nowMs);
         starts.onStart(name, run, runnerId, answer, nowMs);
     }
 
@@ -244,7 +244,7 @@
      * @param nowMs the time
      */
     public void onStop(TaskName name, int run, String runnerId, OrderAnswer answer, long nowMs) {
-        noteFence(runnerId, answer.outcome());
+        noteOutcome(runnerId, answer.outcome(), nowMs);
         starts.onStop(name, run, runnerId, answer, nowMs);
     }
 
@@ -257,7 +257,7 @@
      * @param nowMs the time
      */
     public void onHold(String runnerId, long sequence, HoldAnswer answer, long nowMs) {
-        noteFence(runnerId, answer.outcome());
+        noteOutcome(runnerId, answer.outcome(), nowMs);
         Optional<RunnerState> found = fleet.get(runnerId);
         if (found.isEmpty() || found.get().holdSequence != sequence) {
             return;
@@ -287,7 +287,10 @@
         runner.nextHoldAtMs = unrecorded ? nowMs + DispatchTiming.UNRECORDED_RENEWAL_MS : nowMs;
     }
 
-    private void noteFence(String runnerId, OrderOutcome outcome) {
+    private void noteOutcome(String runnerId, OrderOutcome outcome, long nowMs) {
+        if (outcome == OrderOutcome.UNANSWERED) {
+            upkeep.noteUnanswered(nowMs);
+        }
         if (outcome == OrderOutcome.FENCED) {
             listener.fenced(runnerId);
         }
--- a/core/src/main/java/org/pollensill/dispatch/Upkeep.java
+++ b/core/src/main/java/org/pollensill/dispatch/Upkeep.java
@@ -17,6 +17,9 @@
     /** A task is stalled when it stands still for this many times the expected time of one percent. */
     private static final int STALL_FACTOR = 6;
 
+    /** After an order without an answer, more are expected to be lost for this time. */
+    private static final long LOSSY_MS = 5_000;
+
     private static final int PERCENT = 100;
 
     private final JobTable jobs;
@@ -25,6 +28,7 @@
     private final RunnerHealth health;
     private final Orders orders;
     private final long fence;
+    private long unansweredAtMs = Long.MIN_VALUE / 2;
 
     Upkeep(JobTable jobs, Fleet fleet, Reports reports, RunnerHealth health, Orders orders, long fence) {
         this.jobs = jobs;
@@ -35,6 +39,11 @@
         this.fence = fence;
     }
 
+    /** Notes that an order had no answer: a lost report is noticed sooner when reports wait less. */
+    void noteUnanswered(long nowMs) {
+        unansweredAtMs = nowMs;
+    }
+
     void tick(long nowMs, boolean mayExtend) {
         for (RunnerState runner : new ArrayList<>(fleet.all())) {
             if (holdsOrdered(runner) && nowMs > runner.lapsedAtMs()) {
@@ -151,7 +160,8 @@
                 && !runner.tasks.isEmpty()
                 && runner.seenEnd == runner.durableEnd;
         boolean shared = runner.serving() > 0 && runner.fillingMillicores > 0;
-        long waitMs = shared ? DispatchTiming.SHARED_REPORT_WAIT_MS : DispatchTiming.REPORT_WAIT_MS;
+        boolean lossy = nowMs - unansweredAtMs < LOSSY_MS;
+        long waitMs = shared || lossy ? DispatchTiming.SHORT_REPORT_WAIT_MS : DispatchTiming.REPORT_WAIT_MS;
         runner.holdSequence++;
         runner.holdInFlight = true;
         runner.acknowledgedEnd = runner.durableEnd;
--- a/core/src/test/java/org/pollensill/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/DispatcherTest.java
@@ -234,6 +234,26 @@
         }
     }
 
+    @Nested
+    class LostAnswers {
+
+        @Test
+        void shouldLetReportsWaitLessWhileAnswersAreLost() {
+            lead("r1");
+            dispatcher.addJob(Samples.job("aaaaaaaaaaaaaaaa", Samples.step(2)), Optional.empty(), T0);
+            commit(T0);
+            RecordedOrders.Start lost = orders.starts.remove(0);
+            RecordedOrders.Start taken = orders.starts.remove(0);
+            dispatcher.onStart(
+                    taken.order().task(), 1, "r1", new OrderAnswer(OrderOutcome.ACCEPTED, Optional.of(CLOCK)), T0);
+            dispatcher.onStart(
+                    lost.order().task(), 1, "r1", new OrderAnswer(OrderOutcome.UNANSWERED, Optional.empty()), T0 + 350);
+            assertEquals(
+                    DispatchTiming.SHORT_REPORT_WAIT_MS,
+                    nextHold(T0 + 360).order().waitMs());
+        }
+    }
+
     @Nested
     class Ends {
 
