Let tasks that last use room for two at once

Change: only the last single place is left to short tasks; where there is room for two, a task that lasts takes it at once. Test: RoomMakerTest#shouldTakeAPlaceAtOnceWhereThereIsRoomForTwo, failed before the change.

--- a/core/src/main/java/org/pollensill/dispatch/Placement.java
+++ b/core/src/main/java/org/pollensill/dispatch/Placement.java
@@ -102,6 +102,24 @@
         return most == 0 || task.step.heldBy(runner) < most;
     }
 
+    /** Returns whether there is room for at least two tasks like a waiting one, on one runner or on two. */
+    boolean hasRoomForTwo(TaskState task, Collection<RunnerState> runners, long nowMs) {
+        Resources need = task.step.spec.counted();
+        int places = 0;
+        for (RunnerState runner : runners) {
+            if (!allowed(task, runner, nowMs)) {
+                continue;
+            }
+            int most = task.step.spec.placement().maxPerRunner();
+            boolean second = most == 0 || task.step.heldBy(runner) + 1 < most;
+            places += second && runner.counted.plus(need).plus(need).fitsIn(runner.capacity()) ? 2 : 1;
+            if (places >= 2) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Returns whether a listed runner is of the kind that a step needs. */
     static boolean matches(StepState step, RunnerState runner) {
         RunnerEntry entry = runner.entry.get();
--- a/core/src/main/java/org/pollensill/dispatch/Scheduling.java
+++ b/core/src/main/java/org/pollensill/dispatch/Scheduling.java
@@ -16,7 +16,7 @@
     /** After a short task found no room, others are expected for this time. */
     private static final long SHORT_TASKS_EXPECTED_MS = 10_000;
 
-    /** A task that lasts leaves a free place to short tasks this long; it must not wait beside free room for 3 s. */
+    /** A task that lasts leaves the only free place to short tasks this long; room for two is used at once. */
     static final long LEAVE_PLACE_MS = 1_000;
 
     private final JobTable jobs;
@@ -75,7 +75,7 @@
                 unplaced = 1;
                 continue;
             }
-            if (step.spec.is(Trait.RESTART_ALWAYS) && leavesPlaceToShortTasks(step, nowMs)) {
+            if (step.spec.is(Trait.RESTART_ALWAYS) && leavesPlaceToShortTasks(task, nowMs)) {
                 return;
             }
             commitTo(task, runner.get(), nowMs);
@@ -90,13 +90,16 @@
         }
     }
 
-    /** Returns whether a task that lasts lets a free place be, because short tasks have lacked room lately. */
-    private boolean leavesPlaceToShortTasks(StepState step, long nowMs) {
+    /** Returns whether a task that lasts lets the only free place be, because short tasks have lacked room lately. */
+    private boolean leavesPlaceToShortTasks(TaskState task, long nowMs) {
+        StepState step = task.step;
         if (step.placeFreeSinceMs == 0) {
             step.placeFreeSinceMs = nowMs;
         }
         boolean crowded = nowMs - shortTaskWaitedAtMs < SHORT_TASKS_EXPECTED_MS && step.heldPart() > 0;
-        return crowded && nowMs - step.placeFreeSinceMs < LEAVE_PLACE_MS;
+        return crowded
+                && nowMs - step.placeFreeSinceMs < LEAVE_PLACE_MS
+                && !placement.hasRoomForTwo(task, fleet.all(), nowMs);
     }
 
     /** Returns whether a task could run on another runner than the one that holds it. */
--- a/core/src/test/java/org/pollensill/dispatch/RoomMakerTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/RoomMakerTest.java
@@ -15,6 +15,7 @@
 import org.pollensill.runner.HoldAnswer;
 import org.pollensill.runner.OrderAnswer;
 import org.pollensill.runner.OrderOutcome;
+import org.pollensill.runner.RunnerEntry;
 import org.pollensill.runner.RunnerReport;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -123,6 +124,27 @@
             assertEquals(2, orders.stops.size());
         }
 
+        @Test
+        void shouldTakeAPlaceAtOnceWhereThereIsRoomForTwo() {
+            fill(0);
+            dispatcher.addJob(Samples.job(SHORT, Samples.step(1)), Optional.empty(), T0 + 30);
+            commit(T0 + 30);
+            reportStopped(T0 + 200);
+            dispatcher.cancel(SHORT, T0 + 201);
+            List<RunnerEntry> runners = List.of(Samples.runner("r1"), Samples.runner("r2"));
+            dispatcher.updateRunners(runners, T0 + 202);
+            dispatcher.tick(T0 + 202, T0 + 202, true);
+            RecordedOrders.Hold hold = orders.holds.stream()
+                    .filter(order -> order.to().id().equals("r2"))
+                    .findFirst()
+                    .orElseThrow();
+            RunnerReport report = new RunnerReport(CLOCK, 1, List.of(), List.of());
+            dispatcher.onHold(
+                    "r2", hold.sequence(), new HoldAnswer(OrderOutcome.ACCEPTED, Optional.of(report)), T0 + 203);
+            commit(T0 + 204);
+            assertEquals(LASTING, orders.starts.get(0).order().task().jobId());
+        }
+
         @Test
         void shouldLeaveTheFreedPlaceToShortTasksForAWhile() {
             fill(0);
