Repeat orders without an answer after 150 ms

Cause: a start that is applied late holds up its step until it is repeated; repeating a start, a stop or a pace is harmless. Change: these orders wait 150 ms, reports 350 ms beyond their own wait; a start is tried four times before it is stopped.

--- a/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
@@ -39,8 +39,11 @@
     /** Longest time of a call to the store: a store that is a hundred times slower than usual still answers. */
     private static final long STORE_TIMEOUT_MS = 1_500;
 
-    /** Longest time of an order to a runner in another region: 20 ms, and 200 ms until a lost packet is sent again. */
-    private static final long ORDER_TIMEOUT_MS = 350;
+    /** Longest time of an order to a runner: several round trips to another region; repeating it is harmless. */
+    private static final long ORDER_TIMEOUT_MS = 150;
+
+    /** Longest time of a report beyond its wait: 20 ms, and 200 ms until a lost packet is sent again. */
+    private static final long REPORT_TIMEOUT_MS = 350;
 
     /** Connections to one runner or to the store; the users' runners take 64 from all coordinators. */
     private static final ClientLimits CLIENT = new ClientLimits(12, 2_048, 800, 60_000, 8 << 20);
@@ -75,7 +78,7 @@
         this.peers = new Peers(group, settings, this::onLeaderGone);
         this.path = new StorePath(loop, client::send, settings.storeAddress(), peers, HttpRowStore.PROBE_URI);
         RowStore store = HttpRowStore.of(path, settings.storeAddress(), STORE_TIMEOUT_MS);
-        RunnerService runners = HttpRunnerService.of(client::send, ORDER_TIMEOUT_MS);
+        RunnerService runners = HttpRunnerService.of(client::send, ORDER_TIMEOUT_MS, REPORT_TIMEOUT_MS);
         CoordinatorMetrics metrics = new CoordinatorMetrics(PrometheusRegistry.defaultRegistry);
         CoordinatorContext context = new CoordinatorContext(
                 loop,
--- a/core/src/main/java/org/pollensill/dispatch/Starts.java
+++ b/core/src/main/java/org/pollensill/dispatch/Starts.java
@@ -14,7 +14,7 @@
 final class Starts {
 
     /** A start without an answer is repeated this often before the run is stopped; repeating it is harmless. */
-    private static final int START_ATTEMPTS = 3;
+    private static final int START_ATTEMPTS = 4;
 
     private final long fence;
     private final Orders orders;
