Split the dispatcher's tests by what they are about

The shared steps lie in DispatcherFixture; order under pressure, failing and leaving runners and lost answers in DispatcherTroubleTest. The tests themselves are unchanged.

--- /dev/null
+++ b/core/src/test/java/org/pollensill/dispatch/DispatcherFixture.java
@@ -0,0 +1,79 @@
+package org.pollensill.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.pollensill.job.TaskName;
+import org.pollensill.runner.EndKind;
+import org.pollensill.runner.HoldAnswer;
+import org.pollensill.runner.OrderAnswer;
+import org.pollensill.runner.OrderOutcome;
+import org.pollensill.runner.RunnerReport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+/** A dispatcher that leads over recorded orders, with the steps that tests of its decisions share. */
+abstract class DispatcherFixture {
+
+    static final long T0 = 100_000;
+    static final long CLOCK = 5_000;
+
+    final RecordedOrders orders = new RecordedOrders();
+    final QuietListener listener = new QuietListener();
+    final Dispatcher dispatcher = Dispatcher.takeOver(7, T0, 0, "progress/", orders, listener);
+
+    void lead(String... runners) {
+        dispatcher.setCatalogue(Samples.catalogue(2));
+        dispatcher.begin();
+        List<org.pollensill.runner.RunnerEntry> entries = new ArrayList<>();
+        for (String id : runners) {
+            entries.add(Samples.runner(id));
+        }
+        dispatcher.updateRunners(entries, T0);
+        dispatcher.tick(T0, T0, true);
+        for (RecordedOrders.Hold hold : List.copyOf(orders.holds)) {
+            report(hold, T0, List.of(), List.of());
+        }
+        orders.holds.clear();
+    }
+
+    void report(
+            RecordedOrders.Hold hold,
+            long nowMs,
+            List<RunnerReport.RunningTask> running,
+            List<RunnerReport.EndedRun> ended) {
+        RunnerReport report = new RunnerReport(CLOCK + nowMs - T0, 1, running, ended);
+        dispatcher.onHold(
+                hold.to().id(), hold.sequence(), new HoldAnswer(OrderOutcome.ACCEPTED, Optional.of(report)), nowMs);
+    }
+
+    void commit(long nowMs) {
+        Optional<Batch> batch = dispatcher.plan(nowMs);
+        batch.ifPresent(found -> dispatcher.committed(found, nowMs));
+    }
+
+    RecordedOrders.Start startOne(long nowMs) {
+        commit(nowMs);
+        assertEquals(1, orders.starts.size());
+        RecordedOrders.Start start = orders.starts.remove(0);
+        dispatcher.onStart(
+                start.order().task(),
+                start.order().run(),
+                start.to().id(),
+                new OrderAnswer(OrderOutcome.ACCEPTED, Optional.of(CLOCK + nowMs - T0)),
+                nowMs);
+        return start;
+    }
+
+    RecordedOrders.Hold nextHold(long nowMs) {
+        dispatcher.tick(nowMs, nowMs, true);
+        assertFalse(orders.holds.isEmpty());
+        return orders.holds.remove(orders.holds.size() - 1);
+    }
+
+    static RunnerReport.EndedRun end(long number, TaskName task, int run, EndKind kind) {
+        return new RunnerReport.EndedRun(number, task, run, kind, "");
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/pollensill/dispatch/DispatcherTroubleTest.java
@@ -0,0 +1,149 @@
+package org.pollensill.dispatch;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pollensill.job.JobStatus;
+import org.pollensill.job.TaskName;
+import org.pollensill.job.Trait;
+import org.pollensill.runner.EndKind;
+import org.pollensill.runner.OrderAnswer;
+import org.pollensill.runner.OrderOutcome;
+import org.pollensill.runner.RunnerReport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Order under pressure, failing and leaving runners, lost answers. */
+class DispatcherTroubleTest extends DispatcherFixture {
+
+    @Nested
+    class Order {
+
+        @Test
+        void shouldPreferAJobThatCanMeetItsObjectiveToOneThatIsLate() {
+            lead("r1");
+            // The objective of both is 2 x 1,000 + 500 ms.
+            dispatcher.addJob(Samples.job("aaaaaaaaaaaaaaaa", Samples.step(4)), Optional.empty(), T0 - 2_000);
+            dispatcher.addJob(Samples.job("bbbbbbbbbbbbbbbb", Samples.step(4)), Optional.empty(), T0);
+            commit(T0);
+            assertEquals(4, orders.starts.size());
+            for (RecordedOrders.Start start : orders.starts) {
+                assertEquals("bbbbbbbbbbbbbbbb", start.order().task().jobId());
+            }
+        }
+
+        @Test
+        void shouldPreferTheNearerDeadlineOfTwoThatCanBeMet() {
+            lead("r1");
+            dispatcher.addJob(Samples.job("bbbbbbbbbbbbbbbb", Samples.step(4)), Optional.empty(), T0);
+            dispatcher.addJob(Samples.job("aaaaaaaaaaaaaaaa", Samples.step(4)), Optional.empty(), T0 - 500);
+            commit(T0);
+            assertEquals("aaaaaaaaaaaaaaaa", orders.starts.get(0).order().task().jobId());
+        }
+    }
+
+    @Nested
+    class LostAnswers {
+
+        @Test
+        void shouldLetReportsWaitLessWhileAnswersAreLost() {
+            lead("r1");
+            dispatcher.addJob(Samples.job("aaaaaaaaaaaaaaaa", Samples.step(2)), Optional.empty(), T0);
+            commit(T0);
+            RecordedOrders.Start lost = orders.starts.remove(0);
+            RecordedOrders.Start taken = orders.starts.remove(0);
+            dispatcher.onStart(
+                    taken.order().task(), 1, "r1", new OrderAnswer(OrderOutcome.ACCEPTED, Optional.of(CLOCK)), T0);
+            dispatcher.onStart(
+                    lost.order().task(), 1, "r1", new OrderAnswer(OrderOutcome.UNANSWERED, Optional.empty()), T0 + 350);
+            assertEquals(
+                    DispatchTiming.SHORT_REPORT_WAIT_MS,
+                    nextHold(T0 + 360).order().waitMs());
+        }
+    }
+
+    @Nested
+    class FailingRunners {
+
+        private long failOne(String job, long nowMs) {
+            dispatcher.addJob(Samples.job(job, Samples.step(1)), Optional.empty(), nowMs);
+            commit(nowMs);
+            RecordedOrders.Start start = orders.starts.remove(0);
+            dispatcher.onStart(
+                    start.order().task(),
+                    start.order().run(),
+                    "r1",
+                    new OrderAnswer(OrderOutcome.ACCEPTED, Optional.of(CLOCK + nowMs - T0)),
+                    nowMs);
+            RecordedOrders.Hold hold = nextHold(nowMs + 1);
+            ends++;
+            report(hold, nowMs + 2, lasting(), List.of(end(ends, start.order().task(), 1, EndKind.FAILED)));
+            dispatcher.cancel(job, nowMs + 2);
+            commit(nowMs + 3);
+            return nowMs + 10;
+        }
+
+        private long ends;
+        private TaskName lasting;
+
+        private List<RunnerReport.RunningTask> lasting() {
+            return List.of(new RunnerReport.RunningTask(lasting, 1, "", 100, 0));
+        }
+
+        @Test
+        void shouldTryARunnerAgainThatStillHoldsATaskThatLasts() {
+            lead("r1");
+            dispatcher.addJob(
+                    Samples.job("1111111111111111", Samples.step(1, Trait.RESTART_ALWAYS)), Optional.empty(), T0);
+            lasting = startOne(T0).order().task();
+            long nowMs = T0 + 10;
+            for (String job : List.of("aaaaaaaaaaaaaaaa", "bbbbbbbbbbbbbbbb", "cccccccccccccccc")) {
+                nowMs = failOne(job, nowMs);
+            }
+            dispatcher.addJob(Samples.job("dddddddddddddddd", Samples.step(2)), Optional.empty(), nowMs);
+            commit(nowMs);
+            assertTrue(orders.starts.isEmpty());
+            commit(nowMs + DispatchTiming.SET_ASIDE_MS);
+            assertEquals(1, orders.starts.size());
+        }
+    }
+
+    @Nested
+    class Leaving {
+
+        @Test
+        void shouldStartNothingOnADrainingRunner() {
+            lead("r1");
+            dispatcher.updateRunners(List.of(Samples.runner("r1", 1, true)), T0 + 10);
+            dispatcher.addJob(Samples.job("aaaaaaaaaaaaaaaa", Samples.step(1)), Optional.empty(), T0 + 20);
+            assertTrue(dispatcher.plan(T0 + 20).isEmpty());
+        }
+
+        @Test
+        void shouldRestartAtOnceWhatRanOnARunnerThatHasStartedAnew() {
+            lead("r1", "r2");
+            dispatcher.addJob(Samples.job("aaaaaaaaaaaaaaaa", Samples.step(1)), Optional.empty(), T0);
+            RecordedOrders.Start start = startOne(T0);
+            String other = start.to().id().equals("r1") ? "r2" : "r1";
+            dispatcher.updateRunners(
+                    List.of(Samples.runner(start.to().id(), 2, false), Samples.runner(other)), T0 + 100);
+            commit(T0 + 101);
+            assertEquals(2, orders.starts.get(0).order().run());
+            assertEquals(other, orders.starts.get(0).to().id());
+        }
+
+        @Test
+        void shouldStopTheTasksOfACancelledJob() {
+            lead("r1");
+            dispatcher.addJob(Samples.job("aaaaaaaaaaaaaaaa", Samples.step(1)), Optional.empty(), T0);
+            startOne(T0);
+            dispatcher.cancel("aaaaaaaaaaaaaaaa", T0 + 10);
+            commit(T0 + 10);
+            assertEquals(1, orders.stops.size());
+            assertEquals(Optional.of(JobStatus.CANCELLED), dispatcher.status("aaaaaaaaaaaaaaaa"));
+        }
+    }
+}
