Tell a client after a second that the acceptance of its job is uncertain

Ruled out: refusing them. The write may still take effect, and 503 says that the job never runs. Change: after 1 s, or at the deadline if that is nearer, the answer is 504 for a job that was sent and 503 for one that never was. The client repeats it under the same identity, which remains one job. Tests: IntakeTest, written with the change.

--- a/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
@@ -94,7 +94,7 @@
         });
         this.leadership = new Leadership(context, incarnation, config::current, peers::follow);
         this.members = new Members(loop, store, health, settings, peers::update);
-        Intake intake = new Intake(loop, store, health, incarnation);
+        Intake intake = new Intake(loop::nowMs, loop::after, store, health, incarnation);
         JobStates states = new JobStates(store, health);
         this.endpoint = new JobEndpoint(context, config, leadership, peers, intake, states);
     }
--- a/coordinator/src/main/java/org/pollensill/coordinator/Intake.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Intake.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import java.util.function.LongSupplier;
 
 import org.pollensill.job.JobCodec;
 import org.pollensill.job.JobRequest;
@@ -15,7 +17,7 @@
 import org.pollensill.platform.CommitOutcome;
 import org.pollensill.platform.Condition;
 import org.pollensill.platform.PlatformException;
-import org.pollensill.platform.RowStore;
+import org.pollensill.platform.TableService;
 import org.pollensill.platform.Write;
 
 /**
@@ -42,6 +44,12 @@
 
     private static final long RETRY_MS = 60;
 
+    /**
+     * Longest wait for the store, a third of the clients' usual deadline. A client that is told that the outcome is
+     * unknown repeats its job elsewhere, and has time left for it.
+     */
+    static final long PATIENCE_MS = 1_000;
+
     /** A job that was certainly not written is tried this often before it is refused. */
     private static final int REFUSED_ATTEMPTS = 2;
 
@@ -52,6 +60,7 @@
         private final CompletableFuture<Outcome> result = new CompletableFuture<>();
         private int refusals;
         private boolean mayBeWritten;
+        private boolean inFlight;
 
         private Pending(String id, String value, long deadlineMs) {
             this.id = id;
@@ -66,15 +75,31 @@
         private boolean inFlight;
     }
 
-    private final Loop loop;
-    private final RowStore store;
+    private final LongSupplier clockMs;
+    private final BiConsumer<Long, Runnable> timer;
+    private final TableService store;
     private final StoreHealth health;
     private final String commitPrefix;
     private final Map<String, Lane> lanes = new HashMap<>();
     private long commits;
 
-    Intake(Loop loop, RowStore store, StoreHealth health, String commitPrefix) {
-        this.loop = loop;
+    /**
+     * Creates an intake.
+     *
+     * @param clockMs the monotonic time
+     * @param timer runs an action after a delay in milliseconds
+     * @param store the platform's store
+     * @param health watches the calls
+     * @param commitPrefix beginning of the commits' identities
+     */
+    Intake(
+            LongSupplier clockMs,
+            BiConsumer<Long, Runnable> timer,
+            TableService store,
+            StoreHealth health,
+            String commitPrefix) {
+        this.clockMs = clockMs;
+        this.timer = timer;
         this.store = store;
         this.health = health;
         this.commitPrefix = commitPrefix;
@@ -91,10 +116,22 @@
         Pending pending = new Pending(job.id(), JobCodec.encode(job), deadlineMs);
         Lane lane = lanes.computeIfAbsent(Tables.intakePartition(job.id()), partition -> new Lane());
         lane.waiting.add(pending);
+        long patienceMs = Math.max(0, Math.min(PATIENCE_MS, deadlineMs - clockMs.getAsLong()));
+        timer.accept(patienceMs, () -> giveUp(lane, pending));
         send(lane);
         return pending.result;
     }
 
+    /** Gives a job its final answer: it is refused if it was never sent, and uncertain otherwise. */
+    private static void giveUp(Lane lane, Pending pending) {
+        if (pending.result.isDone()) {
+            return;
+        }
+        boolean sent = pending.inFlight || pending.mayBeWritten;
+        lane.waiting.remove(pending);
+        pending.result.complete(sent ? Outcome.UNKNOWN : Outcome.NOT_STORED);
+    }
+
     private void send(Lane lane) {
         if (lane.inFlight || lane.waiting.isEmpty()) {
             return;
@@ -114,6 +151,7 @@
                 break;
             }
             lane.waiting.poll();
+            next.inFlight = true;
             batch.put(key, next);
             conditions.add(Condition.absent(key));
             writes.add(Write.put(key, next.value));
@@ -123,13 +161,14 @@
         Commit commit = new Commit(commitPrefix + "-" + commits++, conditions, writes);
         health.watch(store.commit(commit)).whenComplete((outcome, failure) -> {
             lane.inFlight = false;
+            batch.values().forEach(pending -> pending.inFlight = false);
             if (failure == null) {
                 answered(lane, batch, outcome);
                 send(lane);
                 return;
             }
             failed(lane, batch, PlatformException.effectOf(failure));
-            loop.after(RETRY_MS, () -> send(lane));
+            timer.accept(RETRY_MS, () -> send(lane));
         });
     }
 
@@ -139,7 +178,7 @@
             for (Map.Entry<String, Pending> entry : batch.entrySet()) {
                 if (conflict.versions().containsKey(entry.getKey())) {
                     entry.getValue().result.complete(Outcome.STORED);
-                } else {
+                } else if (!entry.getValue().result.isDone()) {
                     again.add(entry.getValue());
                 }
             }
@@ -154,9 +193,12 @@
         for (Pending pending : batch.values()) {
             pending.mayBeWritten |= effect == PlatformException.Effect.UNKNOWN;
             pending.refusals++;
+            if (pending.result.isDone()) {
+                continue;
+            }
             if (!pending.mayBeWritten && pending.refusals >= REFUSED_ATTEMPTS) {
                 pending.result.complete(Outcome.NOT_STORED);
-            } else if (loop.nowMs() + RETRY_MS >= pending.deadlineMs) {
+            } else if (clockMs.getAsLong() + RETRY_MS >= pending.deadlineMs) {
                 pending.result.complete(pending.mayBeWritten ? Outcome.UNKNOWN : Outcome.NOT_STORED);
             } else {
                 again.add(pending);
--- /dev/null
+++ b/coordinator/src/test/java/org/pollensill/coordinator/IntakeTest.java
@@ -0,0 +1,150 @@
+package org.pollensill.coordinator;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.pollensill.job.JobRequest;
+import org.pollensill.job.PlacementRule;
+import org.pollensill.job.Serving;
+import org.pollensill.job.StepSpec;
+import org.pollensill.job.Timetable;
+import org.pollensill.platform.Commit;
+import org.pollensill.platform.CommitOutcome;
+import org.pollensill.platform.PlatformException;
+import org.pollensill.platform.Prefix;
+import org.pollensill.platform.Row;
+import org.pollensill.platform.TableService;
+import org.pollensill.worker.Resources;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class IntakeTest {
+
+    private static final long DEADLINE_MS = 2_850;
+
+    private record Timer(long atMs, Runnable action) {}
+
+    private final List<Commit> sent = new ArrayList<>();
+    private final List<CompletableFuture<CommitOutcome>> answers = new ArrayList<>();
+    private final List<Timer> timers = new ArrayList<>();
+    private long nowMs;
+    private final Intake intake = new Intake(
+            () -> nowMs,
+            (delayMs, action) -> timers.add(new Timer(nowMs + delayMs, action)),
+            new TableService() {
+                @Override
+                public CompletableFuture<List<Row>> read(List<String> keys, List<Prefix> prefixes) {
+                    return CompletableFuture.completedFuture(List.of());
+                }
+
+                @Override
+                public CompletableFuture<CommitOutcome> commit(Commit commit) {
+                    sent.add(commit);
+                    answers.add(new CompletableFuture<>());
+                    return answers.get(answers.size() - 1);
+                }
+            },
+            new StoreHealth(() -> nowMs),
+            "test");
+
+    private static JobRequest job(String id) {
+        StepSpec step =
+                new StepSpec(1, new Resources(1_000, 0, 0), 500, List.of(), Set.of(), PlacementRule.ANY, Serving.NONE);
+        return new JobRequest(id, "queue", "service", "", List.of(step), Timetable.AT_ONCE, 0);
+    }
+
+    private void advance(long toMs) {
+        nowMs = toMs;
+        for (Timer timer : List.copyOf(timers)) {
+            if (timer.atMs() <= nowMs) {
+                timers.remove(timer);
+                timer.action().run();
+            }
+        }
+    }
+
+    private static Optional<Intake.Outcome> outcome(CompletableFuture<Intake.Outcome> result) {
+        return Optional.ofNullable(result.getNow(null));
+    }
+
+    @Nested
+    class SilentStore {
+
+        @Test
+        void shouldTellThatTheOutcomeIsUnknownWhileTheClientHasTimeLeft() {
+            CompletableFuture<Intake.Outcome> result = intake.store(job("aaaaaaaaaaaaaaaa"), DEADLINE_MS);
+            advance(Intake.PATIENCE_MS - 1);
+            assertFalse(result.isDone());
+            advance(Intake.PATIENCE_MS);
+            assertEquals(Optional.of(Intake.Outcome.UNKNOWN), outcome(result));
+        }
+
+        @Test
+        void shouldRefuseAJobThatWasNeverSent() {
+            intake.store(job("aaaaaaaaaaaaaaaa"), DEADLINE_MS);
+            CompletableFuture<Intake.Outcome> behind = intake.store(job("abbbbbbbbbbbbbbb"), DEADLINE_MS);
+            assertEquals(1, sent.size());
+            advance(Intake.PATIENCE_MS);
+            assertEquals(Optional.of(Intake.Outcome.NOT_STORED), outcome(behind));
+            answers.get(0).completeExceptionally(new PlatformException(PlatformException.Effect.UNKNOWN, "no answer"));
+            advance(2 * Intake.PATIENCE_MS);
+            assertEquals(1, sent.size());
+        }
+
+        @Test
+        void shouldAnswerByTheClientsDeadlineWhereItIsNearer() {
+            CompletableFuture<Intake.Outcome> result = intake.store(job("aaaaaaaaaaaaaaaa"), 300);
+            advance(300);
+            assertEquals(Optional.of(Intake.Outcome.UNKNOWN), outcome(result));
+        }
+    }
+
+    @Nested
+    class Answers {
+
+        @Test
+        void shouldTellThatAJobIsStored() {
+            CompletableFuture<Intake.Outcome> result = intake.store(job("aaaaaaaaaaaaaaaa"), DEADLINE_MS);
+            answers.get(0).complete(new CommitOutcome.Committed(Map.of()));
+            assertEquals(Optional.of(Intake.Outcome.STORED), outcome(result));
+        }
+
+        @Test
+        void shouldTakeAJobThatIsThereAlreadyForStored() {
+            CompletableFuture<Intake.Outcome> result = intake.store(job("aaaaaaaaaaaaaaaa"), DEADLINE_MS);
+            answers.get(0).complete(new CommitOutcome.Conflicted(Map.of(Tables.jobKey("aaaaaaaaaaaaaaaa"), 7L)));
+            assertEquals(Optional.of(Intake.Outcome.STORED), outcome(result));
+        }
+
+        @Test
+        void shouldRefuseOnlyWhatWasCertainlyNotWritten() {
+            CompletableFuture<Intake.Outcome> result = intake.store(job("aaaaaaaaaaaaaaaa"), DEADLINE_MS);
+            answers.get(0).completeExceptionally(new PlatformException(PlatformException.Effect.UNKNOWN, "lost"));
+            advance(100);
+            answers.get(1).completeExceptionally(new PlatformException(PlatformException.Effect.NONE, "refused"));
+            advance(200);
+            assertEquals(3, sent.size());
+            assertFalse(result.isDone());
+            advance(Intake.PATIENCE_MS);
+            assertEquals(Optional.of(Intake.Outcome.UNKNOWN), outcome(result));
+        }
+
+        @Test
+        void shouldRefuseAfterTwoRefusalsOfTheStore() {
+            CompletableFuture<Intake.Outcome> result = intake.store(job("aaaaaaaaaaaaaaaa"), DEADLINE_MS);
+            answers.get(0).completeExceptionally(new PlatformException(PlatformException.Effect.NONE, "refused"));
+            advance(100);
+            answers.get(1).completeExceptionally(new PlatformException(PlatformException.Effect.NONE, "refused"));
+            assertTrue(result.isDone());
+            assertEquals(Optional.of(Intake.Outcome.NOT_STORED), outcome(result));
+        }
+    }
+}
