Wait for a slow store, give up only on a silent one

Change: the answer after a second is given only if no call was answered for as long. Test: IntakeTest#shouldWaitForASlowStoreUntilTheDeadline.

--- a/coordinator/src/main/java/org/pollensill/coordinator/Intake.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Intake.java
@@ -45,7 +45,7 @@
     private static final long RETRY_MS = 60;
 
     /**
-     * Longest wait for the store, a third of the clients' usual deadline. A client that is told that the outcome is
+     * Longest wait for a store that answers nothing, a third of the clients' usual deadline. A client that is told that the outcome is
      * unknown repeats its job elsewhere, and has time left for it.
      */
     static final long PATIENCE_MS = 1_000;
@@ -116,17 +116,26 @@
         Pending pending = new Pending(job.id(), JobCodec.encode(job), deadlineMs);
         Lane lane = lanes.computeIfAbsent(Tables.intakePartition(job.id()), partition -> new Lane());
         lane.waiting.add(pending);
-        long patienceMs = Math.max(0, Math.min(PATIENCE_MS, deadlineMs - clockMs.getAsLong()));
-        timer.accept(patienceMs, () -> giveUp(lane, pending));
+        giveUpLater(lane, pending);
         send(lane);
         return pending.result;
     }
 
+    private void giveUpLater(Lane lane, Pending pending) {
+        long leftMs = Math.max(0, pending.deadlineMs - clockMs.getAsLong());
+        timer.accept(Math.min(PATIENCE_MS, leftMs), () -> giveUp(lane, pending));
+    }
+
     /** Gives a job its final answer: it is refused if it was never sent, and uncertain otherwise. */
-    private static void giveUp(Lane lane, Pending pending) {
+    private void giveUp(Lane lane, Pending pending) {
         if (pending.result.isDone()) {
             return;
         }
+        boolean slow = health.silentMs() < PATIENCE_MS && clockMs.getAsLong() < pending.deadlineMs;
+        if (slow) {
+            giveUpLater(lane, pending);
+            return;
+        }
         boolean sent = pending.inFlight || pending.mayBeWritten;
         lane.waiting.remove(pending);
         pending.result.complete(sent ? Outcome.UNKNOWN : Outcome.NOT_STORED);
--- a/coordinator/src/main/java/org/pollensill/coordinator/StoreHealth.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/StoreHealth.java
@@ -25,6 +25,7 @@
     private final LongSupplier clockMs;
     private int failures;
     private boolean lost;
+    private long answeredAtMs = Long.MIN_VALUE / 2;
     private final long[] recentMs = new long[RECENT_CALLS];
     private int calls;
 
@@ -60,6 +61,7 @@
 
     private void answered() {
         failures = 0;
+        answeredAtMs = clockMs.getAsLong();
         if (lost) {
             lost = false;
             LOG.log(CoordinatorEvent.STORE_REGAINED);
@@ -81,6 +83,11 @@
         return !lost;
     }
 
+    /** Returns for how long no call has been answered. */
+    long silentMs() {
+        return clockMs.getAsLong() - answeredAtMs;
+    }
+
     /** Returns the time of the fastest recent call. */
     long roundTripMs() {
         if (calls == 0) {
--- a/coordinator/src/test/java/org/pollensill/coordinator/IntakeTest.java
+++ b/coordinator/src/test/java/org/pollensill/coordinator/IntakeTest.java
@@ -36,6 +36,7 @@
     private final List<CompletableFuture<CommitOutcome>> answers = new ArrayList<>();
     private final List<Timer> timers = new ArrayList<>();
     private long nowMs;
+    private final StoreHealth health = new StoreHealth(() -> nowMs);
     private final Intake intake = new Intake(
             () -> nowMs,
             (delayMs, action) -> timers.add(new Timer(nowMs + delayMs, action)),
@@ -52,7 +53,7 @@
                     return answers.get(answers.size() - 1);
                 }
             },
-            new StoreHealth(() -> nowMs),
+            health,
             "test");
 
     private static JobRequest job(String id) {
@@ -87,6 +88,18 @@
             assertEquals(Optional.of(Intake.Outcome.UNKNOWN), outcome(result));
         }
 
+        @Test
+        void shouldWaitForASlowStoreUntilTheDeadline() {
+            CompletableFuture<Intake.Outcome> result = intake.store(job("aaaaaaaaaaaaaaaa"), DEADLINE_MS);
+            for (long atMs = 500; atMs < DEADLINE_MS; atMs += 500) {
+                advance(atMs);
+                health.watch(CompletableFuture.completedFuture("another call"));
+            }
+            assertFalse(result.isDone());
+            advance(DEADLINE_MS);
+            assertEquals(Optional.of(Intake.Outcome.UNKNOWN), outcome(result));
+        }
+
         @Test
         void shouldRefuseAJobThatWasNeverSent() {
             intake.store(job("aaaaaaaaaaaaaaaa"), DEADLINE_MS);
