Extend the leases once more right before the leader lease is given up

Ruled out: extending while the release is on its way. It may have taken effect, and a successor counts leases from its own takeover. Change: a releasing leader holds runners until the release is sent and extends all leases right before. Test: DispatcherTroubleTest.HandingOver, written with the change.

--- a/coordinator/src/main/java/org/pollensill/coordinator/Committer.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Committer.java
@@ -36,6 +36,7 @@
     private final Runnable whenIdle;
     private Consumer<Boolean> follower = committed -> {};
     private Optional<Runnable> onReleased = Optional.empty();
+    private Runnable beforeRelease = () -> {};
     private long beganMs;
     private long confirmedMs;
     private long clockOffsetMs;
@@ -107,9 +108,11 @@
      * Gives up the lease once the commit in flight is settled.
      *
      * @param waitingJobs accepted jobs by queue for which no task has started
+     * @param beforeSending runs right before the lease is given up
      * @param released runs when the store knows, or when the lease is lost
      */
-    void release(Map<String, Integer> waitingJobs, Runnable released) {
+    void release(Map<String, Integer> waitingJobs, Runnable beforeSending, Runnable released) {
+        beforeRelease = beforeSending;
         onReleased = Optional.of(() -> {
             LOG.log(CoordinatorEvent.RELEASED, "fence", chain.row().fence());
             released.run();
@@ -120,6 +123,7 @@
     }
 
     private void sendRelease(Map<String, Integer> waitingJobs) {
+        beforeRelease.run();
         follower = committed -> {};
         beganMs = loop.nowMs();
         chain.begin(waitingJobs, true, List.of());
--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
@@ -113,19 +113,26 @@
     }
 
     /**
-     * Gives up the lease after the commit in flight; no order is sent any more.
+     * Gives up the lease after the commit in flight; until then runners are still held.
      *
      * @param released runs when the store knows, or when this coordinator no longer leads
      */
     void release(Runnable released) {
         releasing = true;
-        orders.stop();
-        committer.release(dispatcher.waitingJobs(), () -> {
+        committer.release(dispatcher.waitingJobs(), this::lastOrders, () -> {
             stop();
             released.run();
         });
     }
 
+    /** Extends the leases for the successor; from now on this process gives no orders. */
+    private void lastOrders() {
+        if (committer.mayExtendLeases()) {
+            dispatcher.extendLeases(loop.nowMs());
+        }
+        orders.stop();
+    }
+
     Optional<JobStatus> status(String id) {
         return loaded() ? dispatcher.status(id) : Optional.empty();
     }
@@ -244,11 +251,9 @@
         if (stopped) {
             return;
         }
-        if (!releasing) {
-            dispatcher.tick(loop.nowMs(), loop.wallMs(), committer.mayExtendLeases());
-            askAdvice();
-            pump();
-        }
+        dispatcher.tick(loop.nowMs(), loop.wallMs(), committer.mayExtendLeases());
+        askAdvice();
+        pump();
         loop.after(TICK_MS, this::tick);
     }
 
--- a/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
@@ -332,6 +332,18 @@
         advising.answered(request, answer, nowMs);
     }
 
+    /**
+     * Extends the leases of all runners once more, so that their tasks outlive a change of the leader. To be called
+     * before the lease is given up: a successor counts leases from its own takeover.
+     *
+     * @param nowMs the time
+     */
+    public void extendLeases(long nowMs) {
+        if (begun) {
+            upkeep.extendLeases(nowMs);
+        }
+    }
+
     /**
      * Returns the state of a job that may be shown.
      *
--- a/core/src/main/java/org/pollensill/dispatch/Upkeep.java
+++ b/core/src/main/java/org/pollensill/dispatch/Upkeep.java
@@ -58,6 +58,21 @@
         }
     }
 
+    /** Extends the leases of all runners with work once more, without waiting for what they report. */
+    void extendLeases(long nowMs) {
+        for (RunnerState runner : new ArrayList<>(fleet.all())) {
+            Optional<RunnerAddress> to = runner.address();
+            if (to.isEmpty() || !runner.fenced || runner.clock.isEmpty() || runner.tasks.isEmpty()) {
+                continue;
+            }
+            long untilMs = runner.clock.get().leastMs(nowMs) + DispatchTiming.LEASE_MS;
+            runner.grantUntil(untilMs);
+            runner.holdSequence++;
+            orders.hold(
+                    to.get(), new HoldOrder(Optional.of(untilMs), fence, runner.durableEnd, 0), runner.holdSequence);
+        }
+    }
+
     /** Returns whether a start may have been sent to the runner for a task that it still holds. */
     private static boolean holdsOrdered(RunnerState runner) {
         for (TaskState task : runner.tasks.values()) {
--- a/core/src/test/java/org/pollensill/dispatch/DispatcherTroubleTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/DispatcherTroubleTest.java
@@ -111,6 +111,26 @@
         }
     }
 
+    @Nested
+    class HandingOver {
+
+        @Test
+        void shouldExtendTheLeasesOfRunnersWithWorkOnceMore() {
+            lead("r1", "r2");
+            dispatcher.addJob(Samples.job("aaaaaaaaaaaaaaaa", Samples.step(1)), Optional.empty(), T0);
+            RecordedOrders.Start start = startOne(T0);
+            orders.holds.clear();
+            dispatcher.extendLeases(T0 + 1_000);
+            assertEquals(1, orders.holds.size());
+            RecordedOrders.Hold hold = orders.holds.get(0);
+            assertEquals(start.to().id(), hold.to().id());
+            assertEquals(0, hold.order().waitMs());
+            // The runner's clock may be 2% slow.
+            long leastMs = CLOCK + 980 + DispatchTiming.LEASE_MS;
+            assertEquals(Optional.of(leastMs), hold.order().leaseEndMs());
+        }
+    }
+
     @Nested
     class Leaving {
 
