Let the leases of a silent runner lapse

It shows only where there is room; the time since the fleet is full hid it before. Ruled out: places left to short tasks (no short task was waiting), anti-affinity and memory (the runners had room for two). Change: a hold to a runner whose last one was not answered carries no extension; the final extension of a releasing leader leaves such runners out as well. Test: DispatcherTroubleTest.SilentRunners, failed before the change.

--- a/core/src/main/java/org/pollensill/dispatch/RunnerState.java
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerState.java
@@ -119,6 +119,11 @@
         return entry.map(found -> new RunnerAddress(id, found.address()));
     }
 
+    /** Returns whether the runner has answered this leader, its last hold included. */
+    boolean answers() {
+        return fenced && clock.isPresent() && silentHolds == 0;
+    }
+
     boolean accepts(long nowMs) {
         return listed && fenced && silentHolds == 0 && !draining() && nowMs >= setAsideEndMs && nowMs >= noRoomEndMs;
     }
--- a/core/src/main/java/org/pollensill/dispatch/Upkeep.java
+++ b/core/src/main/java/org/pollensill/dispatch/Upkeep.java
@@ -62,7 +62,7 @@
     void extendLeases(long nowMs) {
         for (RunnerState runner : new ArrayList<>(fleet.all())) {
             Optional<RunnerAddress> to = runner.address();
-            if (to.isEmpty() || !runner.fenced || runner.clock.isEmpty() || runner.tasks.isEmpty()) {
+            if (to.isEmpty() || !runner.answers() || runner.tasks.isEmpty()) {
                 continue;
             }
             long untilMs = runner.clock.get().leastMs(nowMs) + DispatchTiming.LEASE_MS;
@@ -166,7 +166,10 @@
             return;
         }
         Optional<Long> untilMs = Optional.empty();
-        if (mayExtend && runner.fenced && runner.clock.isPresent() && !runner.tasks.isEmpty()) {
+        // A runner that has not answered is not extended any further: its leases must lapse some time, and a hold
+        // without
+        // an answer may still take effect.
+        if (mayExtend && runner.answers() && !runner.tasks.isEmpty()) {
             untilMs = Optional.of(runner.clock.get().leastMs(nowMs) + DispatchTiming.LEASE_MS);
             runner.grantUntil(untilMs.get());
         }
--- a/core/src/test/java/org/pollensill/dispatch/DispatcherTroubleTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/DispatcherTroubleTest.java
@@ -9,11 +9,13 @@
 import org.pollensill.job.TaskName;
 import org.pollensill.job.Trait;
 import org.pollensill.runner.EndKind;
+import org.pollensill.runner.HoldAnswer;
 import org.pollensill.runner.OrderAnswer;
 import org.pollensill.runner.OrderOutcome;
 import org.pollensill.runner.RunnerReport;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Order under pressure, failing and leaving runners, lost answers. */
@@ -111,6 +113,34 @@
         }
     }
 
+    @Nested
+    class SilentRunners {
+
+        @Test
+        void shouldRestartWhatARunnerHeldThatNeverAnswersAgain() {
+            lead("r1", "r2");
+            dispatcher.addJob(Samples.job("aaaaaaaaaaaaaaaa", Samples.step(1)), Optional.empty(), T0);
+            RecordedOrders.Start start = startOne(T0);
+            long endMs = T0 + 2 * DispatchTiming.LEASE_MS;
+            for (long nowMs = T0 + 10; nowMs < endMs && orders.starts.isEmpty(); nowMs += 50) {
+                orders.holds.clear();
+                dispatcher.tick(nowMs, nowMs, true);
+                for (RecordedOrders.Hold hold : List.copyOf(orders.holds)) {
+                    if (!hold.to().equals(start.to())) {
+                        report(hold, nowMs, List.of(), List.of());
+                        continue;
+                    }
+                    HoldAnswer nothing = new HoldAnswer(OrderOutcome.UNANSWERED, Optional.empty());
+                    dispatcher.onHold(hold.to().id(), hold.sequence(), nothing, nowMs + 40);
+                }
+                commit(nowMs + 41);
+            }
+            assertEquals(1, orders.starts.size());
+            assertEquals(2, orders.starts.get(0).order().run());
+            assertFalse(orders.starts.get(0).to().id().equals(start.to().id()));
+        }
+    }
+
     @Nested
     class HandingOver {
 
