Measure stalls on the runner's clock; prefer leaders with bandwidth

Cause: two reports a tenth of a second apart on the runner, of which the second arrived seconds later, looked like seconds without progress; and a pace that was ordered but had not arrived was taken as in force. The leader itself was a weak machine in the store's region, since only processors counted.

Change: the time without progress is taken between two readings of the runner's clock; a pace counts once the runner has accepted it and is ordered again if not. The weight in the election is processors times bandwidth.

--- a/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorSettings.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorSettings.java
@@ -19,6 +19,7 @@
  *
  * @param name the name of the machine
  * @param zone the availability zone of the machine
+ * @param region the region of the machine; by default its zone
  * @param clientAddress the listen address for clients
  * @param readinessAddress the listen address for readiness probes of the platform
  * @param peerAddress the listen address for other coordinators
@@ -29,11 +30,13 @@
  * @param keepEndedMs the retention time of ended jobs
  * @param maxRowBytes the maximum size of a row in the store
  * @param processors the number of processors available to this process, such as 0.75
+ * @param linkMbps the bandwidth of the machine's network link, in megabits per second each way
  * @param logLevel the minimum level of log events
  */
 public record CoordinatorSettings(
         String name,
         String zone,
+        String region,
         InetSocketAddress clientAddress,
         InetSocketAddress readinessAddress,
         InetSocketAddress peerAddress,
@@ -44,6 +47,7 @@
         long keepEndedMs,
         long maxRowBytes,
         double processors,
+        double linkMbps,
         String logLevel) {
 
     /** Default of {@code stopWithinMs}: below the shortest grace period of the users' deployments, 6 s. */
@@ -55,6 +59,9 @@
     /** Number of processors from which on a machine has the full leader weight. */
     private static final double FULL_WEIGHT_PROCESSORS = 1;
 
+    /** Bandwidth from which on a machine has the full leader weight; a leader of 450 runners needs a tenth of it. */
+    private static final double FULL_WEIGHT_LINK_MBPS = 100;
+
     /** Minimum weight, so that a slow machine still becomes the leader where there is no other. */
     private static final double MIN_LEADER_WEIGHT = 0.1;
 
@@ -69,6 +76,7 @@
     public CoordinatorSettings {
         Objects.requireNonNull(name, "name is null");
         Objects.requireNonNull(zone, "zone is null");
+        Objects.requireNonNull(region, "region is null");
         Objects.requireNonNull(clientAddress, "clientAddress is null");
         Objects.requireNonNull(readinessAddress, "readinessAddress is null");
         Objects.requireNonNull(peerAddress, "peerAddress is null");
@@ -110,6 +118,7 @@
         Reader reader = new Reader(object);
         String name = reader.text("name");
         String zone = reader.text("zone");
+        String region = object.text("region").orElse(zone);
         Optional<InetSocketAddress> client = reader.address("clientAddress", true);
         Optional<InetSocketAddress> readiness = reader.address("readinessAddress", true);
         Optional<InetSocketAddress> peer = reader.address("peerAddress", true);
@@ -120,6 +129,7 @@
         long keepEndedMs = reader.number("keepEndedMs", DEFAULT_KEEP_ENDED_MS);
         long maxRowBytes = reader.number("maxRowBytes", DEFAULT_MAX_ROW_BYTES);
         double processors = reader.fraction("processorShare", 1) * reader.number("processorCores", 1);
+        double linkMbps = reader.fraction("linkMbps", FULL_WEIGHT_LINK_MBPS);
         String logLevel = object.text("logLevel").orElse("info");
         if (!reader.problems.isEmpty()) {
             throw new SettingsFileException(reader.problems);
@@ -127,6 +137,7 @@
         return new CoordinatorSettings(
                 name,
                 zone,
+                region,
                 client.get(),
                 readiness.get(),
                 peer.get(),
@@ -137,16 +148,19 @@
                 keepEndedMs,
                 maxRowBytes,
                 processors,
+                linkMbps,
                 logLevel);
     }
 
     /**
      * Returns the weight of this machine in the leader election.
      *
-     * @return 1 for a machine with enough processors, less for a slower one
+     * @return 1 for a machine with enough processors and bandwidth, less for a weaker one
      */
     public double leaderWeight() {
-        return Math.max(MIN_LEADER_WEIGHT, Math.min(1, processors / FULL_WEIGHT_PROCESSORS));
+        double processorWeight = Math.min(1, processors / FULL_WEIGHT_PROCESSORS);
+        double linkWeight = Math.min(1, linkMbps / FULL_WEIGHT_LINK_MBPS);
+        return Math.max(MIN_LEADER_WEIGHT, processorWeight * linkWeight);
     }
 
     /** Reads members and collects their problems. */
--- a/coordinator/src/main/java/org/pollensill/coordinator/OrderSender.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/OrderSender.java
@@ -74,8 +74,10 @@
 
     @Override
     public void throttle(RunnerAddress to, TaskName task, int run, int percent) {
-        // The answer is not needed: if later reports still show a high tail latency, the pace is sent again.
-        sendOrder(to, patienceMs -> runners.throttle(to, task, run, percent, fencingToken, patienceMs), answer -> {});
+        sendOrder(
+                to,
+                patienceMs -> runners.throttle(to, task, run, percent, fencingToken, patienceMs),
+                answer -> dispatcher.onThrottle(task, run, percent, to.id(), answer, loop.nowMs()));
     }
 
     private void sendOrder(RunnerAddress to, TimedCalls.Call<OrderAnswer> call, Consumer<OrderAnswer> answerHandler) {
--- a/coordinator/src/main/java/org/pollensill/coordinator/TimedCalls.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/TimedCalls.java
@@ -33,8 +33,11 @@
     /** Delay of the event loop beyond which answers may be waiting to be read when a timeout fires. */
     private static final long LATE_TIMER_MS = 50;
 
-    /** Timeout over all runners, in minimum timeouts, above which answers count as delayed. */
-    private static final long CONGESTED_TIMEOUTS = 2;
+    /** Timeout over all runners above which answers count as delayed, in minimum timeouts. */
+    private static final double CONGESTION_BEGIN_TIMEOUTS = 2;
+
+    /** Timeout over all runners below which answers count as timely again, in minimum timeouts. */
+    private static final double CONGESTION_END_TIMEOUTS = 1.2;
 
     /** Starts a call that awaits its answer for a time. */
     @FunctionalInterface
@@ -121,7 +124,8 @@
 
     private void measure(String target, long elapsedMs) {
         timeouts.answered(target, elapsedMs);
-        boolean delayed = timeouts.sharedTimeoutMs() > CONGESTED_TIMEOUTS * TIMEOUT_BOUNDS.minMs();
+        double limit = congested ? CONGESTION_END_TIMEOUTS : CONGESTION_BEGIN_TIMEOUTS;
+        boolean delayed = timeouts.sharedTimeoutMs() > limit * TIMEOUT_BOUNDS.minMs();
         if (delayed != congested) {
             congested = delayed;
             LOG.log(
--- a/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
@@ -273,6 +273,37 @@
         starts.onStop(name, run, runnerId, answer, nowMs);
     }
 
+    /**
+     * Handles the answer to a throttling order.
+     *
+     * @param name the task
+     * @param run the run
+     * @param percent the ordered pace in percent
+     * @param runnerId the runner
+     * @param answer the answer
+     * @param nowMs the time
+     */
+    public void onThrottle(TaskName name, int run, int percent, String runnerId, OrderAnswer answer, long nowMs) {
+        onOutcome(runnerId, answer.outcome(), nowMs);
+        Optional<RunnerState> runner = fleet.get(runnerId);
+        if (runner.isEmpty()) {
+            return;
+        }
+        TaskState task = runner.get().tasks.get(name);
+        if (task == null || task.run != run || task.pace != percent || task.paceConfirmed) {
+            return;
+        }
+        if (answer.outcome() != OrderOutcome.ACCEPTED) {
+            // The runner may or may not have the new pace, so it is ordered again after the next report.
+            task.paceUnknown = true;
+            return;
+        }
+        task.paceConfirmed = true;
+        task.paceUnknown = false;
+        task.progressAtMs = nowMs;
+        task.progressClockMs = 0;
+    }
+
     /**
      * Handles the answer to a lease renewal.
      *
--- a/core/src/main/java/org/pollensill/dispatch/InterferenceController.java
+++ b/core/src/main/java/org/pollensill/dispatch/InterferenceController.java
@@ -239,6 +239,7 @@
         }
         task.pace = percent;
         task.paceUnknown = false;
+        task.paceConfirmed = false;
         task.paceChangedAtMs = nowMs;
         runner.address().ifPresent(to -> orders.throttle(to, task.name, task.run, percent));
     }
--- a/core/src/main/java/org/pollensill/dispatch/ReportHandler.java
+++ b/core/src/main/java/org/pollensill/dispatch/ReportHandler.java
@@ -61,6 +61,7 @@
             return false;
         }
         runner.lastReportSequence = sequence;
+        runner.lastReportClockMs = report.clockMs();
         runner.lastAnswerAtMs = nowMs;
         Map<TaskName, RunnerReport.RunningTask> running = new HashMap<>();
         for (RunnerReport.RunningTask row : report.running()) {
@@ -110,6 +111,10 @@
         if (row.percent() != task.percent) {
             task.percent = row.percent();
             task.progressAtMs = nowMs;
+            task.progressClockMs = 0;
+        }
+        if (task.progressClockMs == 0) {
+            task.progressClockMs = runner.lastReportClockMs;
         }
         if (task.phase == TaskState.Phase.ORDERED) {
             confirm(task, runner);
@@ -222,6 +227,7 @@
                 continue;
             }
             tasksStay = true;
+            task.progressClockMs = 0;
             if (task.phase == TaskState.Phase.RUNNING) {
                 task.confirmedAtRenewal = runner.renewalSequence;
             }
--- a/core/src/main/java/org/pollensill/dispatch/RunnerMaintenance.java
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerMaintenance.java
@@ -173,11 +173,14 @@
     }
 
     private static boolean isStalled(RunnerState runner, TaskState task, long nowMs) {
-        if (task.pace == 0 || task.paceUnknown || task.percent >= PERCENT || task.step.spec.hasTrait(Trait.GANG)) {
+        if (task.pace == 0 || task.paceUnknown || !task.paceConfirmed || task.progressClockMs == 0) {
             return false;
         }
-        // Measured up to the last report, since a lack of progress cannot be observed without a newer one.
-        long sinceProgressMs = runner.lastAnswerAtMs - task.progressAtMs;
+        if (task.percent >= PERCENT || task.step.spec.hasTrait(Trait.GANG)) {
+            return false;
+        }
+        // Between two reports on the runner's clock, since a report may take seconds to arrive.
+        long sinceProgressMs = runner.lastReportClockMs - task.progressClockMs;
         long onePercentMs = task.percent > 0
                 ? (task.progressAtMs - task.startedAtMs) / task.percent
                 : task.step.spec.estimateMs() / PERCENT;
--- a/core/src/main/java/org/pollensill/dispatch/RunnerState.java
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerState.java
@@ -67,6 +67,9 @@
     /** Sequence number of the latest renewal whose report was applied; of an older one only the ended runs count. */
     long lastReportSequence;
 
+    /** Reading of the runner's clock in that report. */
+    long lastReportClockMs;
+
     long nextRenewalAtMs;
     long lastAnswerAtMs;
     int unansweredRenewals;
--- a/core/src/main/java/org/pollensill/dispatch/TaskState.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskState.java
@@ -72,10 +72,16 @@
     long startedAtMs;
     int percent;
     long progressAtMs;
+    /** Reading of the runner's clock in the first report with the current percentage, 0 before the first report. */
+    long progressClockMs;
+
     int pace = FULL_PACE;
     /** Whether a former leader may have set another pace than the one assumed here. */
     boolean paceUnknown;
 
+    /** Whether the runner has accepted the last order that changed the pace. */
+    boolean paceConfirmed = true;
+
     long paceChangedAtMs;
     /** Time since which the pace has been too low for useful progress. */
     long starvedSinceMs;
@@ -134,11 +140,13 @@
         percent = 0;
         pace = FULL_PACE;
         paceUnknown = false;
+        paceConfirmed = true;
         intensity = 1;
         paceChangedAtMs = nowMs;
         startedAtMs = nowMs;
         idleSlackAtMs = Long.MIN_VALUE / 2;
         progressAtMs = nowMs;
+        progressClockMs = 0;
         runner = chosen;
         chosen.add(this);
         if (chosen.isOnProbation()) {
--- a/core/src/test/java/org/pollensill/dispatch/LateAnswersTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/LateAnswersTest.java
@@ -306,6 +306,45 @@
         }
     }
 
+    @Nested
+    class Stalls {
+
+        private RecordedOrders.Start start;
+
+        private void reportProgress(int percent, long runnerClockMs, long receivedAtMs) {
+            RecordedOrders.Renewal renewal = nextRenewal(receivedAtMs - 1);
+            dispatcher.onRenewal(
+                    renewal.to().id(),
+                    renewal.sequence(),
+                    new RenewalAnswer(
+                            OrderOutcome.ACCEPTED,
+                            Optional.of(new RunnerReport(
+                                    RUNNER_CLOCK_MS + runnerClockMs, 1, List.of(running(start, percent)), List.of()))),
+                    receivedAtMs);
+            dispatcher.tick(receivedAtMs + 1, receivedAtMs + 1, true);
+        }
+
+        @Test
+        void shouldNotCountTheDelayOfReportsAsTimeWithoutProgress() {
+            becomeLeader("r1");
+            dispatcher.addJob(Samples.job(JOB, Samples.step(1)), Optional.empty(), T0);
+            start = startOne(T0);
+            reportProgress(10, 100, T0 + 150);
+            reportProgress(10, 200, T0 + 4_000);
+            assertTrue(orders.stops.isEmpty());
+        }
+
+        @Test
+        void shouldStopATaskWithoutProgressOnTheClockOfItsRunner() {
+            becomeLeader("r1");
+            dispatcher.addJob(Samples.job(JOB, Samples.step(1)), Optional.empty(), T0);
+            start = startOne(T0);
+            reportProgress(10, 100, T0 + 150);
+            reportProgress(10, 101 + DispatchTiming.MIN_STALL_MS, T0 + 4_000);
+            assertEquals(1, orders.stops.size());
+        }
+    }
+
     @Nested
     class Congestion {
 
