Preempt two tasks of a runner for a task that needs the room of both

Cause: a victim was chosen only if the room of that one task was enough. On a runner with less than 4.6 free cores no single victim is. Processors of stops in progress anywhere were also counted for every waiting step, wherever they would fit.

Change: where no single victim is enough, the pair of one runner that wastes least; stops in progress count where a waiting task fits after them, and for one step only. The limits of the steps hold for both tasks together.

--- a/core/src/test/java/org/pollensill/dispatch/PreemptorTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/PreemptorTest.java
@@ -125,6 +125,38 @@
             assertEquals(1, orders.stops.size());
         }
 
+        // The runner is full of small tasks, so no single one makes room for the wide task.
+        @Test
+        void shouldStopTwoTasksOfOneRunnerForATaskThatNeedsBoth() {
+            fillRunner(2);
+            dispatcher.addJob(Samples.job(SHORT_JOB, Samples.wide(1, 2)), Optional.empty(), T0 + 30);
+            commit(T0 + 30);
+            assertEquals(2, orders.stops.size());
+            reportStopped(T0 + 200);
+            commit(T0 + 201);
+            assertEquals(SHORT_JOB, orders.starts.get(0).order().task().jobId());
+        }
+
+        @Test
+        void shouldStopNothingWhereTheStepMayNotMissBoth() {
+            fillRunner(1);
+            dispatcher.addJob(Samples.job(SHORT_JOB, Samples.wide(1, 2)), Optional.empty(), T0 + 30);
+            commit(T0 + 30);
+            assertEquals(List.of(), orders.stops);
+        }
+
+        // The stop in progress makes room for one task, and the other step needs room of its own.
+        @Test
+        void shouldNotCountAStopInProgressForTwoSteps() {
+            fillRunner(3);
+            dispatcher.addJob(Samples.job(SHORT_JOB, Samples.step(1)), Optional.empty(), T0 + 30);
+            dispatcher.addJob(Samples.job("cccccccccccccccc", Samples.step(1)), Optional.empty(), T0 + 30);
+            commit(T0 + 30);
+            assertEquals(2, orders.stops.size());
+            commit(T0 + 80);
+            assertEquals(2, orders.stops.size());
+        }
+
         // The rest of the gang could not go on, and the gang restarts only as a whole.
         @Test
         void shouldNotStopAMemberOfAGang() {
