Read the operator's configuration once per region and pass it on

Change: the member of a region with the most bandwidth reads from the store; the others query it over their peer link and get the text compressed, with its age. A member whose reader does not reply within its wait and 400 ms, does not read itself, or has not heard of the store for 1.5 s reads the store for 5 s. Versions only rise. The directory of members carries region and bandwidth.

--- a/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
@@ -13,6 +13,8 @@
 import org.pollensill.adapter.HttpRunnerService;
 import org.pollensill.coordinator.peer.PeerServer;
 import org.pollensill.coordinator.peer.PeerService;
+import org.pollensill.coordinator.peer.wire.ConfigQuery;
+import org.pollensill.coordinator.peer.wire.ConfigReply;
 import org.pollensill.coordinator.peer.wire.StoreCall;
 import org.pollensill.coordinator.peer.wire.StoreReply;
 import org.pollensill.job.JobStatus;
@@ -84,10 +86,16 @@
                 settings.adviceAddress().map(address -> HttpAdviceService.of(client::send, address)),
                 settings,
                 metrics);
-        this.configWatcher = new ConfigWatcher(loop, store, health, catalogue -> {
-            metrics.configurationVersion(catalogue.version());
-            applyCatalogue(catalogue);
-        });
+        this.configWatcher = new ConfigWatcher(
+                loop::nowMs,
+                loop::schedule,
+                new StoreConfigSource(store, health),
+                new PeerConfigSource(peers),
+                peers::hasConfigReader,
+                catalogue -> {
+                    metrics.configurationVersion(catalogue.version());
+                    applyCatalogue(catalogue);
+                });
         this.elector = new LeaderElector(context, incarnation, configWatcher::current, peers::setLeader);
         this.members = new MemberDirectory(loop, store, health, settings, peers::setMembers);
         IntakeWriter intakeWriter = new IntakeWriter(loop::nowMs, loop::schedule, store, health, incarnation);
@@ -116,6 +124,11 @@
             return storeTransport.reachable();
         }
 
+        @Override
+        public CompletableFuture<ConfigReply> configuration(ConfigQuery query) {
+            return configWatcher.query(query.getKnownVersion(), query.getWaitMs());
+        }
+
         @Override
         public CompletableFuture<StoreReply> callStore(StoreCall call) {
             return storeTransport.callForPeer(call);
--- a/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorEvent.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorEvent.java
@@ -10,6 +10,8 @@
     CONFIGURATION_APPLIED(7001, Level.INFO, "configuration applied"),
     /** The configuration row cannot be parsed; the last valid version stays in force. */
     CONFIGURATION_UNREADABLE(7002, Level.WARN, "configuration unreadable"),
+    /** The member that reads the configuration for the region is unusable; it is read from the store for a while. */
+    CONFIGURATION_READ_DIRECTLY(7008, Level.INFO, "configuration read directly"),
     /** Consecutive calls to the store have failed; it counts as unavailable. */
     STORE_UNAVAILABLE(7003, Level.WARN, "store lost"),
     /** A call to the store has succeeded again. */
--- a/coordinator/src/main/java/org/pollensill/coordinator/MemberDirectory.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/MemberDirectory.java
@@ -1,6 +1,5 @@
 package org.pollensill.coordinator;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -37,7 +36,7 @@
     private final RowStore store;
     private final StoreHealth health;
     private final CoordinatorSettings settings;
-    private final Consumer<Map<String, InetSocketAddress>> listener;
+    private final Consumer<Map<String, Member>> listener;
     private final Map<String, Long> lastVersions = new HashMap<>();
     private final Map<String, Integer> unchangedRefreshes = new HashMap<>();
     private long writeCount;
@@ -48,7 +47,7 @@
             RowStore store,
             StoreHealth health,
             CoordinatorSettings settings,
-            Consumer<Map<String, InetSocketAddress>> listener) {
+            Consumer<Map<String, Member>> listener) {
         this.loop = loop;
         this.store = store;
         this.health = health;
@@ -70,6 +69,8 @@
         }
         String ownRow = JsonText.object(json -> {
             json.writeStringField("zone", settings.zone());
+            json.writeStringField("region", settings.region());
+            json.writeNumberField("linkMbps", settings.linkMbps());
             json.writeStringField("peerAddress", Addresses.format(settings.peerAddress()));
             json.writeNumberField("refresh", writeCount);
         });
@@ -90,8 +91,8 @@
                 });
     }
 
-    private Map<String, InetSocketAddress> selectLive(List<Row> rows) {
-        Map<String, InetSocketAddress> members = new HashMap<>();
+    private Map<String, Member> selectLive(List<Row> rows) {
+        Map<String, Member> members = new HashMap<>();
         Set<String> listedNames = new HashSet<>();
         List<Write> deletions = new ArrayList<>();
         for (Row row : rows) {
@@ -106,8 +107,8 @@
             }
             if (unchangedCount >= REFRESHES_UNTIL_STALE) {
                 deletions.add(Write.delete(row.key()));
-            } else if (!name.equals(settings.name())) {
-                parseAddress(row).ifPresent(address -> members.put(name, address));
+            } else {
+                parse(row).ifPresent(member -> members.put(name, member));
             }
         }
         lastVersions.keySet().retainAll(listedNames);
@@ -119,10 +120,17 @@
         return members;
     }
 
-    private static Optional<InetSocketAddress> parseAddress(Row row) {
+    private static Optional<Member> parse(Row row) {
         try {
-            Optional<String> text = JsonObject.parse(row.value()).text("peerAddress");
-            return text.isEmpty() ? Optional.empty() : Optional.of(Addresses.parse(text.get()));
+            JsonObject object = JsonObject.parse(row.value());
+            Optional<String> address = object.text("peerAddress");
+            if (address.isEmpty()) {
+                return Optional.empty();
+            }
+            return Optional.of(new Member(
+                    Addresses.parse(address.get()),
+                    object.text("region").orElse(""),
+                    object.number("linkMbps").orElse(0.0)));
         } catch (JsonSyntaxException | AddressException e) {
             LOG.log(CoordinatorEvent.ROW_UNREADABLE, "key", row.key(), "problem", e.getMessage());
             return Optional.empty();
--- a/coordinator/src/main/java/org/pollensill/coordinator/Peers.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Peers.java
@@ -4,16 +4,20 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoopGroup;
 import org.pollensill.coordinator.peer.PeerLink;
+import org.pollensill.coordinator.peer.wire.ConfigQuery;
+import org.pollensill.coordinator.peer.wire.ConfigReply;
 import org.pollensill.coordinator.peer.wire.Frame;
 import org.pollensill.coordinator.peer.wire.JobQuery;
 import org.pollensill.coordinator.peer.wire.StoreCall;
@@ -34,16 +38,22 @@
     private static final int MAX_RELAY_LINKS = 3;
 
     private static final long JOB_QUERY_TIMEOUT_MS = 400;
+
+    /** Timeout of the reply to a configuration query beyond its wait; covers the transfer of a large configuration. */
+    private static final long CONFIG_REPLY_TIMEOUT_MS = 400;
+
     /** Added to the timeout of a relayed call for the round trip to the peer. */
     private static final long RELAY_OVERHEAD_MS = 200;
 
     private final EventLoopGroup loops;
     private final CoordinatorSettings settings;
     private final LeaderUnavailableListener onLeaderUnavailable;
-    private final Map<String, InetSocketAddress> members = new HashMap<>();
+    private final Map<String, Member> members = new HashMap<>();
     private final Map<InetSocketAddress, PeerLink> relayLinks = new HashMap<>();
     private Optional<PeerLink> leaderLink = Optional.empty();
     private String leaderIncarnation = "";
+    /** The link to the member that reads the configuration for this region, empty where this process does. */
+    private Optional<PeerLink> configReaderLink = Optional.empty();
 
     /** Receives the incarnation of a leader that is unavailable, and whether that is certain. */
     @FunctionalInterface
@@ -109,16 +119,24 @@
         }
     }
 
-    /** Applies the member directory: keeps links to a few members, selected by the name of this machine. */
-    void setMembers(Map<String, InetSocketAddress> directory) {
+    /**
+     * Applies the member directory: keeps links to a few members, selected by the name of this machine, and to the
+     * reader of the configuration.
+     */
+    void setMembers(Map<String, Member> directory) {
         members.clear();
         members.putAll(directory);
+        Optional<String> configReader =
+                Member.configReader(members, settings.region()).filter(name -> !name.equals(settings.name()));
         List<String> names = new ArrayList<>(members.keySet());
+        names.remove(settings.name());
         Collections.sort(names);
         Collections.shuffle(names, new Random(settings.name().hashCode()));
+        Set<String> linked = new LinkedHashSet<>(names.subList(0, Math.min(MAX_RELAY_LINKS, names.size())));
+        configReader.ifPresent(linked::add);
         Map<InetSocketAddress, PeerLink> updatedLinks = new HashMap<>();
-        for (String name : names.subList(0, Math.min(MAX_RELAY_LINKS, names.size()))) {
-            InetSocketAddress address = members.get(name);
+        for (String name : linked) {
+            InetSocketAddress address = members.get(name).peerAddress();
             PeerLink link = relayLinks.remove(address);
             updatedLinks.put(
                     address, link == null ? PeerLink.open(loops, address, settings.name(), new RelayListener()) : link);
@@ -126,6 +144,32 @@
         relayLinks.values().forEach(PeerLink::close);
         relayLinks.clear();
         relayLinks.putAll(updatedLinks);
+        configReaderLink =
+                configReader.map(name -> relayLinks.get(members.get(name).peerAddress()));
+    }
+
+    /** Returns whether another member reads the configuration for this region and is connected. */
+    boolean hasConfigReader() {
+        return configReaderLink.isPresent() && configReaderLink.get().up();
+    }
+
+    /**
+     * Queries the member that reads the configuration for this region.
+     *
+     * @param knownVersion the version in force
+     * @param waitMs how long the member may wait for a newer version
+     * @return the reply; fails if there is no such member or it does not reply
+     */
+    CompletableFuture<ConfigReply> queryConfiguration(long knownVersion, long waitMs) {
+        if (configReaderLink.isEmpty()) {
+            return CompletableFuture.failedFuture(new ConfigSourceException("no reader in this region"));
+        }
+        ConfigQuery.Builder query =
+                ConfigQuery.newBuilder().setKnownVersion(knownVersion).setWaitMs((int) waitMs);
+        return configReaderLink
+                .get()
+                .call(Frame.newBuilder().setConfigQuery(query), waitMs + CONFIG_REPLY_TIMEOUT_MS)
+                .thenApply(Frame::getConfigReply);
     }
 
     /** Ignores all events: a relay that is down is skipped, and its link reconnects by itself. */
--- a/coordinator/src/main/java/org/pollensill/coordinator/peer/PeerServer.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/peer/PeerServer.java
@@ -128,6 +128,11 @@
                             .thenAccept(answer -> context.writeAndFlush(
                                     reply.setStoreReply(answer).build()));
                     return;
+                case CONFIG_QUERY:
+                    service.configuration(frame.getConfigQuery())
+                            .thenAccept(answer -> context.writeAndFlush(
+                                    reply.setConfigReply(answer).build()));
+                    return;
                 default:
                 // Ignores an unknown message of a later version; the call times out at its sender.
             }
--- a/coordinator/src/main/java/org/pollensill/coordinator/peer/PeerService.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/peer/PeerService.java
@@ -3,6 +3,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
+import org.pollensill.coordinator.peer.wire.ConfigQuery;
+import org.pollensill.coordinator.peer.wire.ConfigReply;
 import org.pollensill.coordinator.peer.wire.StoreCall;
 import org.pollensill.coordinator.peer.wire.StoreReply;
 import org.pollensill.job.JobStatus;
@@ -32,4 +34,12 @@
      * @return the reply; never fails
      */
     CompletableFuture<StoreReply> callStore(StoreCall call);
+
+    /**
+     * Answers a peer that reads the configuration from this coordinator.
+     *
+     * @param query the version that the peer knows, and how long the reply may wait for a newer one
+     * @return the reply; never fails
+     */
+    CompletableFuture<ConfigReply> configuration(ConfigQuery query);
 }
