--- a/coordinator/src/main/java/org/pollensill/coordinator/ConfigWatcher.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/ConfigWatcher.java
@@ -107,8 +107,8 @@
             if (source == store) {
                 storeAnsweredAtMs = clockMs.getAsLong();
             }
+            timer.schedule(0, this::poll);
             text.ifPresent(this::apply);
-            poll();
         });
     }
 
--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderElector.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderElector.java
@@ -124,8 +124,8 @@
     }
 
     private void pollLeaderRow() {
-        readLeaderRow();
         loop.schedule(POLL_INTERVAL_MS, this::pollLeaderRow);
+        readLeaderRow();
     }
 
     private void readLeaderRow() {
--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
@@ -227,27 +227,32 @@
         try {
             Optional<JobRecord> record = Optional.ofNullable(progressRecords.remove(Tables.jobId(row.key())));
             dispatcher.addJob(JobCodec.decode(row.value()), record, nowMs);
-        } catch (JsonSyntaxException e) {
-            LOG.log(CoordinatorEvent.ROW_UNREADABLE, "key", row.key(), "problem", e.getMessage());
+        } catch (JsonSyntaxException | RuntimeException e) {
+            // One job that cannot be added must not keep the others from being loaded.
+            LOG.log(CoordinatorEvent.ROW_UNREADABLE, "key", row.key(), "problem", String.valueOf(e));
         }
     }
 
     private void loadRunners() {
         reader.read(RunnerEntryCodec.TABLE).thenAccept(snapshot -> {
-            List<RunnerEntry> entries = new ArrayList<>();
-            for (Row row : snapshot.rows()) {
-                RunnerEntryCodec.decode(row).ifPresent(entries::add);
-            }
-            dispatcher.updateRunners(entries);
-            if (!runnersLoaded) {
-                runnersLoaded = true;
-                logLoaded();
-            }
             loop.schedule(RUNNER_READ_INTERVAL_MS, this::loadRunners);
-            commitPending();
+            loop.execute(() -> onRunnerRows(snapshot.rows()));
         });
     }
 
+    private void onRunnerRows(List<Row> rows) {
+        List<RunnerEntry> entries = new ArrayList<>();
+        for (Row row : rows) {
+            RunnerEntryCodec.decode(row).ifPresent(entries::add);
+        }
+        dispatcher.updateRunners(entries);
+        if (!runnersLoaded) {
+            runnersLoaded = true;
+            logLoaded();
+        }
+        commitPending();
+    }
+
     private void logLoaded() {
         if (loaded()) {
             LOG.log(CoordinatorEvent.STATE_LOADED, "tookMs", loop.nowMs() - takeoverMs);
@@ -258,10 +263,11 @@
         if (stopped) {
             return;
         }
+        // Scheduled first, so that an unexpected exception does not end the ticks.
+        loop.schedule(TICK_INTERVAL_MS, this::tick);
         dispatcher.tick(loop.nowMs(), loop.wallClockMs(), committer.mayRenewLeases());
         requestAdvice();
         commitPending();
-        loop.schedule(TICK_INTERVAL_MS, this::tick);
     }
 
     private void requestAdvice() {
@@ -337,10 +343,10 @@
         if (stopped) {
             return;
         }
+        loop.schedule(EXPIRY_INTERVAL_MS, this::runExpiry);
         if (jobsLoaded && !releasing) {
             expiry.run(loop.nowMs());
         }
-        loop.schedule(EXPIRY_INTERVAL_MS, this::runExpiry);
     }
 
     private final class DispatcherJobs implements JobExpiry.EndedJobs {
--- a/coordinator/src/main/java/org/pollensill/coordinator/MemberDirectory.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/MemberDirectory.java
@@ -86,8 +86,8 @@
                         loop.schedule(RETRY_DELAY_MS, this::refresh);
                         return;
                     }
-                    listener.accept(selectLive(page.rows()));
                     loop.schedule(REFRESH_INTERVAL_MS, this::refresh);
+                    loop.execute(() -> listener.accept(selectLive(page.rows())));
                 });
     }
 
--- a/coordinator/src/test/java/org/pollensill/coordinator/ConfigWatcherTest.java
+++ b/coordinator/src/test/java/org/pollensill/coordinator/ConfigWatcherTest.java
@@ -33,12 +33,17 @@
     }
 
     /** A source whose calls are answered by the test. */
-    private static final class FakeSource implements ConfigSource {
+    private final class FakeSource implements ConfigSource {
 
         private CompletableFuture<Optional<String>> call = new CompletableFuture<>();
         private int calls;
         private int resets;
 
+        private void answer(Optional<String> text) {
+            call.complete(text);
+            timer.advance(0);
+        }
+
         @Override
         public CompletableFuture<Optional<String>> next(long knownVersion) {
             calls++;
@@ -60,7 +65,7 @@
             hasReader = true;
             watcher.start();
             assertEquals(0, reader.calls);
-            store.call.complete(Optional.of(text(3)));
+            store.answer(Optional.of(text(3)));
             assertEquals(List.of(3L), versions);
             assertEquals(1, reader.calls);
         }
@@ -69,15 +74,15 @@
         void shouldReadFromTheStoreAtOnceWhileTheReaderIsUnusable() {
             hasReader = true;
             watcher.start();
-            store.call.complete(Optional.of(text(3)));
+            store.answer(Optional.of(text(3)));
             reader.call.completeExceptionally(new ConfigSourceException("silent"));
             assertEquals(2, store.calls);
             assertEquals(1, store.resets);
-            store.call.complete(Optional.of(text(4)));
+            store.answer(Optional.of(text(4)));
             assertEquals(List.of(3L, 4L), versions);
             assertEquals(3, store.calls);
             timer.advance(ConfigWatcher.DIRECT_PERIOD_MS);
-            store.call.complete(Optional.empty());
+            store.answer(Optional.empty());
             assertEquals(2, reader.calls);
         }
 
@@ -85,18 +90,18 @@
         void shouldNeverReturnToAnOlderVersion() {
             hasReader = true;
             watcher.start();
-            store.call.complete(Optional.of(text(7)));
-            reader.call.complete(Optional.of(text(6)));
+            store.answer(Optional.of(text(7)));
+            reader.answer(Optional.of(text(6)));
             assertEquals(List.of(7L), versions);
         }
 
         @Test
         void shouldKeepTheVersionInForceWhenTheNextOneIsMalformed() {
             watcher.start();
-            store.call.complete(Optional.of(text(7)));
-            store.call.complete(Optional.of("{\"Version\":8,\"Rou"));
+            store.answer(Optional.of(text(7)));
+            store.answer(Optional.of("{\"Version\":8,\"Rou"));
             assertEquals(7, watcher.current().orElseThrow().version());
-            store.call.complete(Optional.of(text(9)));
+            store.answer(Optional.of(text(9)));
             assertEquals(List.of(7L, 9L), versions);
         }
 
@@ -110,6 +115,17 @@
         }
     }
 
+    // The next version is read although the listener failed on this one.
+    @Test
+    void shouldGoOnAfterAnUnexpectedExceptionOfTheListener() {
+        ConfigWatcher failing = new ConfigWatcher(timer::nowMs, timer, store, reader, () -> hasReader, catalogue -> {
+            throw new IllegalStateException("unexpected");
+        });
+        failing.start();
+        store.answer(Optional.of(text(3)));
+        assertEquals(2, store.calls);
+    }
+
     @Nested
     class Queries {
 
@@ -120,7 +136,7 @@
         @Test
         void shouldBeAnsweredAtOnceWithANewerVersion() throws ConfigSourceException {
             watcher.start();
-            store.call.complete(Optional.of(text(3)));
+            store.answer(Optional.of(text(3)));
             ConfigReply reply = reply(2);
             assertTrue(reply.getReading());
             assertEquals(text(3), CompressedText.decode(reply.getText().toByteArray()));
@@ -129,17 +145,17 @@
         @Test
         void shouldWaitForANewerVersion() {
             watcher.start();
-            store.call.complete(Optional.of(text(3)));
+            store.answer(Optional.of(text(3)));
             CompletableFuture<ConfigReply> waiting = watcher.query(3, 600);
             assertFalse(waiting.isDone());
-            store.call.complete(Optional.of(text(4)));
+            store.answer(Optional.of(text(4)));
             assertFalse(waiting.join().getText().isEmpty());
         }
 
         @Test
         void shouldEndTheWaitInTime() {
             watcher.start();
-            store.call.complete(Optional.of(text(3)));
+            store.answer(Optional.of(text(3)));
             CompletableFuture<ConfigReply> waiting = watcher.query(3, 600);
             timer.advance(600);
             assertTrue(waiting.join().getText().isEmpty());
@@ -151,7 +167,7 @@
         void shouldSayThatThisProcessFollowsAnotherOneItself() {
             hasReader = true;
             watcher.start();
-            store.call.complete(Optional.of(text(3)));
+            store.answer(Optional.of(text(3)));
             assertFalse(reply(3).getReading());
         }
     }
