Follow the store's round trip in the timeouts of its calls

Cause: a lost answer of the store was noticed after 1.5 s at any round trip, so a leader stood still for as long, and its clients' jobs waited.

Change: the timeout follows mean and deviation of the measured answers, at least 0.5 s, doubled with each call that fails in a row, at most 1.5 s.

--- a/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
@@ -39,9 +39,6 @@
 
     private static final EventLog LOG = EventLog.of(Coordinator.class);
 
-    /** Timeout of a call to the store; leaves room for a store that is a hundred times slower than usual. */
-    private static final long STORE_TIMEOUT_MS = 1_500;
-
     /** Limits per runner and for the store; the users' runners accept 64 connections from all coordinators. */
     private static final ClientLimits CLIENT_LIMITS = new ClientLimits(12, 2_048, 800, 60_000, 8 << 20);
 
@@ -75,7 +72,7 @@
         this.peers = new Peers(group, settings, this::onLeaderUnavailable);
         this.storeTransport =
                 new StoreTransport(loop, client::send, settings.storeAddress(), peers, HttpRowStore.PROBE_URI);
-        RowStore store = HttpRowStore.of(storeTransport, settings.storeAddress(), STORE_TIMEOUT_MS);
+        RowStore store = HttpRowStore.of(storeTransport, settings.storeAddress(), health::timeoutMs);
         RunnerService runners = HttpRunnerService.of(client::send, client::discardIdle);
         CoordinatorMetrics metrics = new CoordinatorMetrics(PrometheusRegistry.defaultRegistry);
         CoordinatorContext context = new CoordinatorContext(
--- a/coordinator/src/main/java/org/pollensill/coordinator/StoreHealth.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/StoreHealth.java
@@ -6,6 +6,8 @@
 
 import org.pollensill.error.Failures;
 import org.pollensill.platform.PlatformException;
+import org.pollensill.retry.TimeoutBounds;
+import org.pollensill.retry.TimeoutEstimate;
 import org.pollensill.runtime.event.EventLog;
 
 /** Tracks the availability and the round-trip time of the store from the outcomes of its calls. */
@@ -16,13 +18,19 @@
     /** Number of consecutive failed calls after which the store counts as unavailable. */
     private static final int FAILURES_UNTIL_UNAVAILABLE = 2;
 
+    private static final int MAX_TIMEOUT_DOUBLINGS = 2;
+
     /** Number of recent calls whose minimum is the round-trip time; the first calls of a new process are slow. */
     private static final int RECENT_CALLS = 5;
 
     /** Round-trip time before the first answer: a store in the same region. */
     private static final long INITIAL_ROUND_TRIP_MS = 5;
 
+    /** Bounds of the timeout of a call; the maximum leaves room for a store that is a hundred times slower than usual. */
+    private static final TimeoutBounds TIMEOUT_BOUNDS = new TimeoutBounds(500, 1_500, 1_500);
+
     private final LongSupplier clockMs;
+    private final TimeoutEstimate timeout = TimeoutEstimate.of(TIMEOUT_BOUNDS);
     private int consecutiveFailures;
     private boolean unavailable;
     private long lastAnswerMs = Long.MIN_VALUE / 2;
@@ -38,7 +46,9 @@
         long sentMs = clockMs.getAsLong();
         call.whenComplete((answer, failure) -> {
             if (failure == null) {
-                recentRoundTripsMs[callCount++ % recentRoundTripsMs.length] = clockMs.getAsLong() - sentMs;
+                long tookMs = clockMs.getAsLong() - sentMs;
+                timeout.answered(tookMs);
+                recentRoundTripsMs[callCount++ % recentRoundTripsMs.length] = tookMs;
                 recordAnswer();
             } else {
                 recordFailure(failure);
@@ -79,6 +89,15 @@
         }
     }
 
+    /**
+     * Returns the timeout of the next call. It follows the measured time to an answer and doubles with each call that
+     * fails in a row, since a store that has become slow gives no answer to measure.
+     */
+    long timeoutMs() {
+        long doubled = timeout.timeoutMs() << Math.min(consecutiveFailures, MAX_TIMEOUT_DOUBLINGS);
+        return Math.min(TIMEOUT_BOUNDS.maxMs(), doubled);
+    }
+
     boolean available() {
         return !unavailable;
     }
--- a/coordinator/src/test/java/org/pollensill/coordinator/StoreHealthTest.java
+++ b/coordinator/src/test/java/org/pollensill/coordinator/StoreHealthTest.java
@@ -30,6 +30,47 @@
         call.complete("");
     }
 
+    @Nested
+    class Timeouts {
+
+        private void fail() {
+            CompletableFuture<String> call = new CompletableFuture<>();
+            health.track(call);
+            call.completeExceptionally(new PlatformException(PlatformException.Effect.UNKNOWN, "timed out"));
+        }
+
+        // A lost answer of a commit was noticed after 1.5 s, whatever the round trip.
+        @Test
+        void shouldNoticeALostAnswerSoonWhileTheStoreIsFast() {
+            for (int i = 0; i < 20; i++) {
+                call(5);
+            }
+            assertEquals(500, health.timeoutMs());
+        }
+
+        @Test
+        void shouldWaitLongerWhileTheStoreIsSlow() {
+            for (int i = 0; i < 20; i++) {
+                call(700);
+            }
+            assertTrue(health.timeoutMs() >= 700, "timeout " + health.timeoutMs());
+        }
+
+        // A store that becomes a hundred times slower gives no answer within the timeout of before.
+        @Test
+        void shouldReachAStoreThatHasBecomeSlow() {
+            for (int i = 0; i < 20; i++) {
+                call(5);
+            }
+            fail();
+            assertEquals(1_000, health.timeoutMs());
+            fail();
+            assertEquals(1_500, health.timeoutMs());
+            call(1_200);
+            assertTrue(health.timeoutMs() >= 1_200, "timeout " + health.timeoutMs());
+        }
+    }
+
     @Nested
     class RoundTrip {
 
