Wait for the peer listener to be closed

What was seen: PeerTransportTest failed once (UNREACHABLE instead of REFUSED) in a run of all tests. Repeated 200 times it failed 14 times.

Cause: close() returned before the listener was closed, so a peer could still connect. 2 of 200 remained after close() waits: the kernel resets a connection that arrives while it closes the socket (connect fails with ECONNRESET).

Change: close() waits unless it is called on an event loop. The test, repeated 50 times, tries again after a reset, as PeerHub does, and still demands that the address then refuses the connection; a reset itself does not prove that no process listens, so it stays UNREACHABLE.

--- a/runtime/src/main/java/org/pollensill/runtime/peer/PeerTransport.java
+++ b/runtime/src/main/java/org/pollensill/runtime/peer/PeerTransport.java
@@ -11,12 +11,14 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.ChannelGroupFuture;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
+import io.netty.util.concurrent.EventExecutor;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import org.pollensill.runtime.event.EventLog;
 import org.pollensill.runtime.event.RuntimeEvent;
@@ -31,6 +33,7 @@
 
     private static final EventLog LOG = EventLog.of(PeerTransport.class);
     private static final int CONNECT_TIMEOUT_MS = 1_000;
+    private static final long CLOSE_TIMEOUT_MS = 1_000;
     private static final int ACCEPT_BACKLOG = 256;
 
     private final EventLoopGroup loops;
@@ -109,9 +112,18 @@
         return established;
     }
 
-    /** Closes the listener and all connections. */
+    /**
+     * Closes the listener and all connections. Waits until they are closed, so that no peer can connect afterwards,
+     * unless it is called on an event loop.
+     */
     public void close() {
-        channels.close();
+        ChannelGroupFuture closed = channels.close();
+        for (EventExecutor loop : loops) {
+            if (loop.inEventLoop()) {
+                return;
+            }
+        }
+        closed.awaitUninterruptibly(CLOSE_TIMEOUT_MS);
     }
 
     private ChannelInitializer<SocketChannel> channelInitializer(
--- a/runtime/src/test/java/org/pollensill/runtime/peer/PeerTransportTest.java
+++ b/runtime/src/test/java/org/pollensill/runtime/peer/PeerTransportTest.java
@@ -8,6 +8,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 import org.pollensill.runtime.net.EventLoops;
 import org.pollensill.runtime.peer.wire.Envelope;
@@ -60,11 +61,16 @@
         assertEquals(0, received.links.size());
     }
 
-    @Test
+    // While the kernel closes the listener it may reset a connection, which proves nothing; it then refuses the next.
+    @RepeatedTest(50)
     void shouldReportRefusedWhenNoProcessListens() throws Exception {
         InetSocketAddress address = listener.listen(ANY_PORT);
         listener.close();
-        PeerException failure = failure(transport("e2", "secret", new RecordingHandler()), address);
+        PeerTransport from = transport("e2", "secret", new RecordingHandler());
+        PeerException failure = failure(from, address);
+        for (int i = 0; i < 20 && failure.reason() == PeerException.Reason.UNREACHABLE; i++) {
+            failure = failure(from, address);
+        }
         assertEquals(PeerException.Reason.REFUSED, failure.reason());
     }
 
