Read smaller pages when large ones do not pass the link in time

Cause: a new leader reads its 16 partitions of jobs at once, in pages of up to 1 MB; such a page takes 4 s on that link, and each call times out after 1.5 s and is repeated as it was.

--- a/coordinator/src/main/java/org/pollensill/coordinator/ConfigWatcher.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/ConfigWatcher.java
@@ -35,7 +35,7 @@
     private record Waiting(long knownVersion, CompletableFuture<ConfigReply> reply) {}
 
     private final LongSupplier clockMs;
-    private final TimedCalls.Timer timer;
+    private final Timer timer;
     private final ConfigSource store;
     private final ConfigSource reader;
     private final BooleanSupplier followsReader;
@@ -60,7 +60,7 @@
      */
     ConfigWatcher(
             LongSupplier clockMs,
-            TimedCalls.Timer timer,
+            Timer timer,
             ConfigSource store,
             ConfigSource reader,
             BooleanSupplier followsReader,
--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
@@ -74,7 +74,7 @@
         this.health = context.health();
         this.settings = context.settings();
         this.advice = context.advice();
-        this.reader = new TableReader(loop, store, health, () -> stopped);
+        this.reader = new TableReader(loop::schedule, store, health, () -> stopped);
         this.takeoverMs = loop.nowMs();
         this.committer = new Committer(context, chain, onDeposed, this::commitPending);
         this.orders = new OrderSender(
--- a/coordinator/src/main/java/org/pollensill/coordinator/TableReader.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/TableReader.java
@@ -12,15 +12,20 @@
 /** Reads whole tables page by page; a failed page is retried until it succeeds. */
 final class TableReader {
 
-    /** Number of rows in a page, the maximum of the store. */
-    private static final int PAGE_ROWS = 500;
+    /** Maximum number of rows in a page, that of the store. */
+    static final int MAX_PAGE_ROWS = 500;
+
+    /** Minimum number of rows in a page; as many jobs pass a link of 2 Mbit/s well within the timeout of a call. */
+    static final int MIN_PAGE_ROWS = 20;
 
     private static final long RETRY_DELAY_MS = 150;
 
-    private final CoordinatorLoop loop;
+    private final Timer timer;
     private final RowStore store;
     private final StoreHealth health;
     private final BooleanSupplier stopped;
+    /** Number of rows in the next page; halved by a failed call, since a large page may not pass in time. */
+    private int pageRows = MAX_PAGE_ROWS;
 
     /**
      * The rows of a table.
@@ -38,10 +43,13 @@
     /**
      * Creates a reader.
      *
+     * @param timer runs an action on the event loop after a delay
+     * @param store the platform's store
+     * @param health tracks the outcome of the calls
      * @param stopped whether the reader is stopped; no future completes from then on
      */
-    TableReader(CoordinatorLoop loop, RowStore store, StoreHealth health, BooleanSupplier stopped) {
-        this.loop = Objects.requireNonNull(loop, "loop is null");
+    TableReader(Timer timer, RowStore store, StoreHealth health, BooleanSupplier stopped) {
+        this.timer = Objects.requireNonNull(timer, "timer is null");
         this.store = Objects.requireNonNull(store, "store is null");
         this.health = Objects.requireNonNull(health, "health is null");
         this.stopped = Objects.requireNonNull(stopped, "stopped is null");
@@ -59,9 +67,10 @@
         if (stopped.getAsBoolean()) {
             return;
         }
-        health.track(store.page(table, after, PAGE_ROWS)).whenComplete((page, failure) -> {
+        health.track(store.page(table, after, pageRows)).whenComplete((page, failure) -> {
             if (failure != null) {
-                loop.schedule(RETRY_DELAY_MS, () -> readPage(table, after, firstVersion, rows, result));
+                pageRows = Math.max(MIN_PAGE_ROWS, pageRows / 2);
+                timer.schedule(RETRY_DELAY_MS, () -> readPage(table, after, firstVersion, rows, result));
                 return;
             }
             rows.addAll(page.rows());
--- a/coordinator/src/main/java/org/pollensill/coordinator/TimedCalls.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/TimedCalls.java
@@ -45,12 +45,6 @@
         CompletableFuture<T> start(long patienceMs);
     }
 
-    /** Runs an action after a delay; the result cancels it. */
-    @FunctionalInterface
-    interface Timer {
-        Runnable schedule(long delayMs, Runnable action);
-    }
-
     /** Handles the outcome of a call: an answer, a timeout, or a timeout and then a late answer. */
     interface Handler<T> {
 
--- a/coordinator/src/test/java/org/pollensill/coordinator/ManualTimer.java
+++ b/coordinator/src/test/java/org/pollensill/coordinator/ManualTimer.java
@@ -4,7 +4,7 @@
 import java.util.PriorityQueue;
 
 /** Virtual time for tests: actions run in the order of their due times when the time is advanced. */
-final class ManualTimer implements TimedCalls.Timer {
+final class ManualTimer implements Timer {
 
     private record Action(long dueMs, long number, Runnable run) {}
 
