Split the handling of runners' answers from the dispatcher

AnswerHandler has the answers to renewals and throttling orders. A pace that changes while a task works no longer starts the measurement of a stall anew, only one that lets a paused task go on, as before.

--- a/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
@@ -14,11 +14,9 @@
 import org.pollensill.queue.QueueCatalogue;
 import org.pollensill.runner.AdviceAnswer;
 import org.pollensill.runner.OrderAnswer;
-import org.pollensill.runner.OrderOutcome;
 import org.pollensill.runner.RenewalAnswer;
 import org.pollensill.runner.RunnerClock;
 import org.pollensill.runner.RunnerEntry;
-import org.pollensill.runner.RunnerReport;
 
 /**
  * Makes the leader's scheduling decisions. A placement is durable before its start order is sent, an ended run is
@@ -27,16 +25,15 @@
  */
 public final class Dispatcher {
 
-    private final DispatchListener listener;
     private final Fleet fleet;
     private final PendingChanges pendingChanges;
     private final JobTable jobs;
     private final ReportHandler reportHandler;
     private final StartSender starts;
     private final InterferenceModel interferenceModel = new InterferenceModel();
-    private final InterferenceController interferenceController;
     private final TaskScheduler taskScheduler;
     private final RunnerMaintenance maintenance;
+    private final AnswerHandler answers;
     private final AdvicePoller advicePoller;
     private final WaitExplainer waitExplainer;
     private boolean active;
@@ -48,7 +45,6 @@
             String recordKeyPrefix,
             Orders orders,
             DispatchListener listener) {
-        this.listener = listener;
         this.fleet = new Fleet(nowMs + inheritedLeaseMs);
         this.pendingChanges = new PendingChanges(recordKeyPrefix);
         this.jobs = new JobTable(pendingChanges, listener);
@@ -65,10 +61,11 @@
                 new CapacityReservations(fleet, runnerSelector, listener),
                 listener);
         this.waitExplainer = new WaitExplainer(jobs, fleet, runnerSelector, taskScheduler, listener);
-        this.interferenceController =
-                new InterferenceController(orders, reportHandler, interferenceModel, taskScheduler::hasBetterRunner);
         this.advicePoller = new AdvicePoller(jobs, fleet);
         this.maintenance = new RunnerMaintenance(jobs, fleet, reportHandler, starts, health, orders, fencingToken);
+        InterferenceController interferenceController =
+                new InterferenceController(orders, reportHandler, interferenceModel, taskScheduler::hasBetterRunner);
+        this.answers = new AnswerHandler(fleet, reportHandler, interferenceController, maintenance, listener);
     }
 
     /**
@@ -255,7 +252,7 @@
      * @param nowMs the time
      */
     public void onStart(TaskName name, int run, String runnerId, OrderAnswer answer, long nowMs) {
-        onOutcome(runnerId, answer.outcome(), nowMs);
+        answers.onOutcome(runnerId, answer.outcome(), nowMs);
         starts.onStart(name, run, runnerId, answer, nowMs);
     }
 
@@ -269,7 +266,7 @@
      * @param nowMs the time
      */
     public void onStop(TaskName name, int run, String runnerId, OrderAnswer answer, long nowMs) {
-        onOutcome(runnerId, answer.outcome(), nowMs);
+        answers.onOutcome(runnerId, answer.outcome(), nowMs);
         starts.onStop(name, run, runnerId, answer, nowMs);
     }
 
@@ -284,24 +281,7 @@
      * @param nowMs the time
      */
     public void onThrottle(TaskName name, int run, int percent, String runnerId, OrderAnswer answer, long nowMs) {
-        onOutcome(runnerId, answer.outcome(), nowMs);
-        Optional<RunnerState> runner = fleet.get(runnerId);
-        if (runner.isEmpty()) {
-            return;
-        }
-        TaskState task = runner.get().tasks.get(name);
-        if (task == null || task.run != run || task.pace != percent || task.paceConfirmed) {
-            return;
-        }
-        if (answer.outcome() != OrderOutcome.ACCEPTED) {
-            // The runner may or may not have the new pace, so it is ordered again after the next report.
-            task.paceUnknown = true;
-            return;
-        }
-        task.paceConfirmed = true;
-        task.paceUnknown = false;
-        task.progressAtMs = nowMs;
-        task.progressClockMs = 0;
+        answers.onThrottle(name, run, percent, runnerId, answer, nowMs);
     }
 
     /**
@@ -313,60 +293,7 @@
      * @param nowMs the time
      */
     public void onRenewal(String runnerId, long sequence, RenewalAnswer answer, long nowMs) {
-        onOutcome(runnerId, answer.outcome(), nowMs);
-        Optional<RunnerState> found = fleet.get(runnerId);
-        if (found.isEmpty()) {
-            return;
-        }
-        RunnerState runner = found.get();
-        boolean latest = runner.renewalSequence == sequence;
-        if (latest) {
-            runner.renewalInFlight = false;
-        }
-        if (answer.report().isPresent()) {
-            onReport(runner, sequence, answer.report().get(), nowMs);
-            return;
-        }
-        if (!latest) {
-            return;
-        }
-        if (answer.outcome() == OrderOutcome.OTHER_RUNNER) {
-            reportHandler.endIncarnation(runner, nowMs);
-            runner.listed = false;
-            runner.nextRenewalAtMs = nowMs + DispatchTiming.UNRECORDED_RENEWAL_INTERVAL_MS;
-            return;
-        }
-        runner.unansweredRenewals++;
-        // The acknowledgement in the renewal may be lost as well.
-        runner.lastAcknowledgedEnd = 0;
-        runner.nextRenewalAtMs = nowMs + DispatchTiming.RETRY_DELAY_MS;
-    }
-
-    private void onReport(RunnerState runner, long sequence, RunnerReport report, long nowMs) {
-        long incarnationStartMs = report.incarnationStartMs();
-        boolean late = sequence != runner.renewalSequence;
-        if (late && incarnationStartMs < runner.incarnationStartMs) {
-            // The report may be of an earlier incarnation, whose runs are released already.
-            return;
-        }
-        if (incarnationStartMs != 0 && incarnationStartMs != runner.incarnationStartMs) {
-            reportHandler.beginIncarnation(runner, report, nowMs);
-        }
-        if (reportHandler.apply(runner, sequence, report, nowMs)) {
-            interferenceController.apply(runner, report, nowMs);
-        }
-        // Ended runs must be durable before the next renewal can acknowledge them.
-        boolean unrecorded = runner.lastSeenEnd > runner.lastDurableEnd;
-        runner.nextRenewalAtMs = unrecorded ? nowMs + DispatchTiming.UNRECORDED_RENEWAL_INTERVAL_MS : nowMs;
-    }
-
-    private void onOutcome(String runnerId, OrderOutcome outcome, long nowMs) {
-        if (outcome == OrderOutcome.UNANSWERED) {
-            maintenance.onUnanswered(nowMs);
-        }
-        if (outcome == OrderOutcome.FENCED) {
-            listener.fenced(runnerId);
-        }
+        answers.onRenewal(runnerId, sequence, answer, nowMs);
     }
 
     /**
--- a/core/src/main/java/org/pollensill/dispatch/InterferenceController.java
+++ b/core/src/main/java/org/pollensill/dispatch/InterferenceController.java
@@ -232,6 +232,7 @@
 
     private void setPace(RunnerState runner, TaskState task, int percent, long nowMs) {
         if (task.pace == 0 || task.paceUnknown) {
+            task.resuming = true;
             task.progressAtMs = nowMs;
         }
         if (task.pace > STARVED_PACE_PERCENT && percent <= STARVED_PACE_PERCENT) {
--- a/core/src/main/java/org/pollensill/dispatch/TaskState.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskState.java
@@ -82,6 +82,9 @@
     /** Whether the runner has accepted the last order that changed the pace. */
     boolean paceConfirmed = true;
 
+    /** Whether that order let a paused task go on, so that its progress counts from the answer on. */
+    boolean resuming;
+
     long paceChangedAtMs;
     /** Time since which the pace has been too low for useful progress. */
     long starvedSinceMs;
@@ -141,6 +144,7 @@
         pace = FULL_PACE;
         paceUnknown = false;
         paceConfirmed = true;
+        resuming = false;
         intensity = 1;
         paceChangedAtMs = nowMs;
         startedAtMs = nowMs;
