Prefer strong leaders also while the store is slow

Suspected cause, not shown by a log yet: the delay by which candidates are preferred was bounded by 400 ms as a whole. With a round trip of 250 ms all reach the bound, and the lease goes to any machine; 29 of 47 have 0.36 cores and 14 Mbit/s.

Change: at most 200 ms for the distance, and up to 400 ms more for weakness.

--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderElector.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderElector.java
@@ -30,11 +30,14 @@
     /** Time without a change of the leader row after which its lease has expired: three renewals. */
     private static final long LEASE_TIMEOUT_MS = 2_200;
 
-    /** Campaign delay in round trips to the store, so that a near candidate with enough processors wins. */
+    /** Campaign delay in round trips to the store, so that of equal candidates the nearest wins. */
     private static final long CAMPAIGN_DELAY_ROUND_TRIPS = 15;
 
-    /** Upper bound of the campaign delay before jitter; the first calls of any new process are slow. */
-    private static final long MAX_PREFERENCE_DELAY_MS = 400;
+    /** Upper bound of that delay; the first calls of any new process are slow, and so is the store at times. */
+    private static final long MAX_DISTANCE_DELAY_MS = 200;
+
+    /** Additional delay of a candidate without any weight; a strong one wins first, however slow the store is. */
+    private static final long MAX_WEAKNESS_DELAY_MS = 400;
 
     private static final int MAX_JITTER_MS = 60;
 
@@ -178,8 +181,7 @@
                 || configSource.current().isEmpty()) {
             return;
         }
-        long preferenceDelayMs = (long) (CAMPAIGN_DELAY_ROUND_TRIPS * health.roundTripMs() / settings.leaderWeight());
-        long delayMs = Math.min(MAX_PREFERENCE_DELAY_MS, preferenceDelayMs)
+        long delayMs = preferenceDelayMs(health.roundTripMs(), settings.leaderWeight())
                 + ThreadLocalRandom.current().nextInt(MAX_JITTER_MS);
         if (watch.shouldCampaign(loop.nowMs(), delayMs)) {
             campaign();
@@ -190,6 +192,12 @@
         }
     }
 
+    /** Returns the campaign delay by which the strongest candidate wins, and of equal ones the nearest to the store. */
+    static long preferenceDelayMs(long roundTripMs, double weight) {
+        long distanceDelayMs = Math.min(MAX_DISTANCE_DELAY_MS, CAMPAIGN_DELAY_ROUND_TRIPS * roundTripMs);
+        return distanceDelayMs + Math.round((1 - weight) * MAX_WEAKNESS_DELAY_MS);
+    }
+
     private void campaign() {
         campaigning = true;
         long fencingToken = watch.row().map(LeaderRow::fencingToken).orElse(0L) + 1;
