Count preemptions in progress for every waiting step again

Suspected cause: since the preemption of pairs a stop in progress counted for one step only, so each of the steps that waited while the store was slow stopped the long-running tasks that it needed.

Change: stops in progress count for all steps, as before; pairs stay.

--- a/core/src/main/java/org/pollensill/dispatch/Preemptor.java
+++ b/core/src/main/java/org/pollensill/dispatch/Preemptor.java
@@ -1,9 +1,7 @@
 package org.pollensill.dispatch;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 
 import org.pollensill.dispatch.DispatchListener.Cause;
@@ -25,8 +23,6 @@
     private final Fleet fleet;
     private final RunnerSelector runnerSelector;
     private final ReportHandler reportHandler;
-    /** What waiting tasks expect of each runner after the stops in progress, in the current round. */
-    private final Map<RunnerState, Resources> claimed = new HashMap<>();
 
     Preemptor(Fleet fleet, RunnerSelector runnerSelector, ReportHandler reportHandler) {
         this.fleet = fleet;
@@ -35,82 +31,55 @@
     }
 
     /** Long-running tasks of one runner, and the fraction of what they use that waiting tasks would take. */
-    private record Victims(RunnerState runner, List<TaskState> tasks, long gained, double usableFraction) {}
-
-    /** Forgets what earlier rounds expected of the stops in progress. */
-    void beginRound() {
-        claimed.clear();
-    }
+    private record Victims(RunnerState runner, List<TaskState> tasks, double usableFraction) {}
 
     /**
-     * Stops long-running tasks until the waiting tasks of a step fit, counting the stops that are in progress. What a
-     * step expects of a runner is not counted for another step in the same round.
+     * Stops long-running tasks until the waiting tasks of a step fit. The stops in progress count for every step, so that
+     * many waiting steps do not stop a large part of the long-running tasks at once.
      *
      * @param waiting a task that fits on no runner
      * @param count number of such tasks in its step
      * @param nowMs the time
      */
     void preempt(TaskState waiting, int count, long nowMs) {
-        long missing = count - claimStopsInProgress(waiting, count, nowMs);
-        while (missing > 0) {
+        Resources need = waiting.step.spec.need();
+        long missingMillicores = count * need.processorsMillicores() - pendingMillicores(waiting);
+        while (missingMillicores > 0) {
             Optional<Victims> victims = selectVictims(waiting, nowMs);
             if (victims.isEmpty()) {
                 return;
             }
+            victims.get().runner().preemptedAtMs = nowMs;
             for (TaskState task : victims.get().tasks()) {
                 task.preempted = true;
                 reportHandler.stop(task, Cause.PREEMPTED, nowMs);
+                missingMillicores -= task.step.spec.need().processorsMillicores();
             }
-            RunnerState runner = victims.get().runner();
-            runner.preemptedAtMs = nowMs;
-            long used = Math.min(missing, victims.get().gained());
-            claim(runner, waiting, used);
-            missing -= used;
         }
     }
 
-    /** Claims the capacity that stops in progress free, and returns how many waiting tasks will fit there. */
-    private long claimStopsInProgress(TaskState waiting, int count, long nowMs) {
-        Resources need = waiting.step.spec.need();
-        long fitting = 0;
+    /** Returns the processors that are freed by stops in progress. */
+    private long pendingMillicores(TaskState waiting) {
+        long pending = 0;
         for (RunnerState runner : fleet.all()) {
-            if (fitting >= count) {
-                break;
-            }
-            if (!hasStopInProgress(runner) || !isCandidate(waiting, runner, nowMs)) {
-                continue;
-            }
-            long fits = Math.min(count - fitting, fitCount(need, expectedFree(runner)));
-            claim(runner, waiting, fits);
-            fitting += fits;
-        }
-        return fitting;
-    }
-
-    private void claim(RunnerState runner, TaskState waiting, long count) {
-        for (long i = 0; i < count; i++) {
-            claimed.merge(runner, waiting.step.spec.need(), Resources::plus);
-        }
-    }
-
-    private static boolean hasStopInProgress(RunnerState runner) {
-        for (TaskState task : runner.tasks.values()) {
-            if (task.stopping && isLongRunning(task)) {
-                return true;
+            for (TaskState task : runner.tasks.values()) {
+                if (task.stopping && isLongRunning(task) && task.step.job.service.equals(waiting.step.job.service)) {
+                    pending += task.step.spec.need().processorsMillicores();
+                }
             }
         }
-        return false;
+        return pending;
     }
 
-    /** Returns what will be free on a runner after the stops in progress, without what other tasks expect there. */
-    private Resources expectedFree(RunnerState runner) {
+    /** Returns what will be free on a runner after the stops in progress. */
+    private static Resources expectedFree(RunnerState runner) {
         Resources free = runner.capacity().minus(runner.reservedResources);
         for (TaskState task : runner.tasks.values()) {
             if (task.stopping && isLongRunning(task)) {
                 free = free.plus(task.step.spec.need());
             }
         }
-        return free.minus(claimed.getOrDefault(runner, Resources.NONE));
+        return free;
     }
 
     /** Returns how many times a need fits, 0 where more than the available amount is expected to be used already. */
@@ -199,7 +168,7 @@
         }
         double usableFraction =
                 (double) gained * need.processorsMillicores() / Math.max(1, freed.processorsMillicores());
-        return Optional.of(new Victims(runner, tasks, gained, usableFraction));
+        return Optional.of(new Victims(runner, tasks, usableFraction));
     }
 
     private static boolean isPreemptible(TaskState task, TaskState waiting, long nowMs) {
--- a/core/src/main/java/org/pollensill/dispatch/TaskScheduler.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskScheduler.java
@@ -53,7 +53,6 @@
 
     void place(long nowMs) {
         List<StepState> steps = jobs.readySteps(nowMs);
-        preemptor.beginRound();
         reservations.placeOverdue(steps, nowMs, new OverduePlacement(nowMs));
         for (StepState step : steps) {
             if (step.spec.hasTrait(Trait.GANG)) {
