--- a/core/src/main/java/org/pollensill/dispatch/Preemptor.java
+++ b/core/src/main/java/org/pollensill/dispatch/Preemptor.java
@@ -1,7 +1,5 @@
 package org.pollensill.dispatch;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 
 import org.pollensill.dispatch.DispatchListener.Cause;
@@ -17,9 +15,6 @@
     /** Maximum fraction of a step's tasks that may be unavailable, for steps that set no limit of their own. */
     private static final double MAX_UNAVAILABLE_FRACTION = 0.34;
 
-    /** Maximum number of tasks of a runner of which pairs are considered, to bound the time of a round. */
-    private static final int MAX_PAIR_CANDIDATES = 6;
-
     private final Fleet fleet;
     private final RunnerSelector runnerSelector;
     private final ReportHandler reportHandler;
@@ -30,31 +25,28 @@
         this.reportHandler = reportHandler;
     }
 
-    /** Long-running tasks of one runner, and the fraction of what they use that waiting tasks would take. */
-    private record Victims(RunnerState runner, List<TaskState> tasks, double usableFraction) {}
+    /** A long-running task and the fraction of its processors that waiting tasks would use. */
+    private record Victim(TaskState task, double usableFraction) {}
 
     /**
-     * Stops long-running tasks until the waiting tasks of a step fit. The stops in progress count for every step, so that
-     * many waiting steps do not stop a large part of the long-running tasks at once.
+     * Stops long-running tasks until the waiting tasks of a step fit, counting the stops that are in progress.
      *
      * @param waiting a task that fits on no runner
      * @param count number of such tasks in its step
      * @param nowMs the time
      */
     void preempt(TaskState waiting, int count, long nowMs) {
-        Resources need = waiting.step.spec.need();
-        long missingMillicores = count * need.processorsMillicores() - pendingMillicores(waiting);
+        long missingMillicores = count * waiting.step.spec.need().processorsMillicores() - pendingMillicores(waiting);
         while (missingMillicores > 0) {
-            Optional<Victims> victims = selectVictims(waiting, nowMs);
-            if (victims.isEmpty()) {
+            Optional<Victim> victim = selectVictim(waiting, nowMs);
+            if (victim.isEmpty()) {
                 return;
             }
-            victims.get().runner().preemptedAtMs = nowMs;
-            for (TaskState task : victims.get().tasks()) {
-                task.preempted = true;
-                reportHandler.stop(task, Cause.PREEMPTED, nowMs);
-                missingMillicores -= task.step.spec.need().processorsMillicores();
-            }
+            TaskState task = victim.get().task();
+            task.preempted = true;
+            task.runner.preemptedAtMs = nowMs;
+            reportHandler.stop(task, Cause.PREEMPTED, nowMs);
+            missingMillicores -= task.step.spec.need().processorsMillicores();
         }
     }
 
@@ -71,106 +63,30 @@
         return pending;
     }
 
-    /** Returns what will be free on a runner after the stops in progress. */
-    private static Resources expectedFree(RunnerState runner) {
-        Resources free = runner.capacity().minus(runner.reservedResources);
-        for (TaskState task : runner.tasks.values()) {
-            if (task.stopping && isLongRunning(task)) {
-                free = free.plus(task.step.spec.need());
-            }
-        }
-        return free;
-    }
-
-    /** Returns how many times a need fits, 0 where more than the available amount is expected to be used already. */
-    private static long fitCount(Resources need, Resources available) {
-        return need.fitsIn(available) ? need.fitCount(available) : 0;
-    }
-
     private static boolean isLongRunning(TaskState task) {
         return task.step.spec.hasTrait(Trait.RESTART_ALWAYS);
     }
 
-    /** Capacity that is freed on a reserved runner would not go to the waiting task. */
-    private boolean isCandidate(TaskState waiting, RunnerState runner, long nowMs) {
-        return runner.reservedFor == null && runnerSelector.isEligible(waiting, runner, nowMs);
-    }
-
-    private Optional<Victims> selectVictims(TaskState waiting, long nowMs) {
-        Victims best = null;
+    private Optional<Victim> selectVictim(TaskState waiting, long nowMs) {
+        Victim best = null;
         for (RunnerState runner : fleet.all()) {
-            if (!mayFitAfterPreemption(waiting, runner) || !isCandidate(waiting, runner, nowMs)) {
+            // Capacity that is freed on a reserved runner would not go to the waiting task.
+            if (runner.reservedFor != null || !runnerSelector.isEligible(waiting, runner, nowMs)) {
                 continue;
             }
-            Optional<Victims> found = selectVictims(waiting, runner, nowMs);
-            if (found.isPresent() && (best == null || found.get().usableFraction() > best.usableFraction())) {
-                best = found.get();
-            }
-        }
-        return Optional.ofNullable(best);
-    }
-
-    /** Excludes at a low cost the runners on which a task would not even fit without all long-running tasks. */
-    private static boolean mayFitAfterPreemption(TaskState waiting, RunnerState runner) {
-        return runner.longRunningResources.processorsMillicores() > 0
-                && waiting.step.spec.need().processorsMillicores()
-                        <= runner.freeMillicores() + runner.longRunningResources.processorsMillicores();
-    }
-
-    /** Returns the tasks of a runner whose stop wastes least: one task if that is enough, else the best two. */
-    private Optional<Victims> selectVictims(TaskState waiting, RunnerState runner, long nowMs) {
-        List<TaskState> candidates = new ArrayList<>();
-        for (TaskState task : runner.tasks.values()) {
-            if (isPreemptible(task, waiting, nowMs)) {
-                candidates.add(task);
-            }
-        }
-        Resources free = expectedFree(runner);
-        Victims best = null;
-        for (TaskState task : candidates) {
-            best = better(best, victims(waiting, runner, free, List.of(task)));
-        }
-        if (best != null) {
-            return Optional.of(best);
-        }
-        int count = Math.min(MAX_PAIR_CANDIDATES, candidates.size());
-        for (int i = 0; i < count; i++) {
-            for (int j = i + 1; j < count; j++) {
-                List<TaskState> pair = List.of(candidates.get(i), candidates.get(j));
-                if (toleratesBoth(pair)) {
-                    best = better(best, victims(waiting, runner, free, pair));
+            for (TaskState task : runner.tasks.values()) {
+                if (!isPreemptible(task, waiting, nowMs)) {
+                    continue;
+                }
+                double usableFraction = usableFraction(runner, task.step.spec.need(), waiting.step.spec.need());
+                if (usableFraction > 0 && (best == null || usableFraction > best.usableFraction())) {
+                    best = new Victim(task, usableFraction);
                 }
             }
         }
         return Optional.ofNullable(best);
     }
 
-    private static boolean toleratesBoth(List<TaskState> pair) {
-        StepState step = pair.get(0).step;
-        return step != pair.get(1).step || step.toleratesEvictions(pair.size(), MAX_UNAVAILABLE_FRACTION);
-    }
-
-    private static Victims better(Victims best, Optional<Victims> other) {
-        boolean replaces = other.isPresent() && (best == null || other.get().usableFraction() > best.usableFraction());
-        return replaces ? other.get() : best;
-    }
-
-    private static Optional<Victims> victims(
-            TaskState waiting, RunnerState runner, Resources free, List<TaskState> tasks) {
-        Resources need = waiting.step.spec.need();
-        Resources freed = Resources.NONE;
-        for (TaskState task : tasks) {
-            freed = freed.plus(task.step.spec.need());
-        }
-        long gained = fitCount(need, free.plus(freed)) - fitCount(need, free);
-        if (gained <= 0) {
-            return Optional.empty();
-        }
-        double usableFraction =
-                (double) gained * need.processorsMillicores() / Math.max(1, freed.processorsMillicores());
-        return Optional.of(new Victims(runner, tasks, usableFraction));
-    }
-
     private static boolean isPreemptible(TaskState task, TaskState waiting, long nowMs) {
         if (!isLongRunning(task) || task.stopping || task.phase != TaskState.Phase.RUNNING) {
             return false;
@@ -182,6 +98,13 @@
         if (task.step.job.status.isFinal() || task.step.job.priority < waiting.step.job.priority) {
             return false;
         }
-        return task.step.toleratesEvictions(1, MAX_UNAVAILABLE_FRACTION);
+        return task.step.toleratesEviction(MAX_UNAVAILABLE_FRACTION);
+    }
+
+    /** Returns the fraction of the freed processors that additional tasks would use. */
+    private static double usableFraction(RunnerState runner, Resources freed, Resources need) {
+        Resources free = runner.capacity().minus(runner.reservedResources);
+        long additional = need.fitCount(free.plus(freed)) - need.fitCount(free);
+        return (double) additional * need.processorsMillicores() / Math.max(1, freed.processorsMillicores());
     }
 }
--- a/core/src/main/java/org/pollensill/dispatch/StepState.java
+++ b/core/src/main/java/org/pollensill/dispatch/StepState.java
@@ -82,8 +82,8 @@
         return !spec.hasTrait(Trait.RESTART_ALWAYS) && !spec.hasTrait(Trait.FILLS);
     }
 
-    /** Returns whether more tasks may be stopped, by the step's own limit or else by a fraction of its tasks. */
-    boolean toleratesEvictions(int count, double maxMissingFraction) {
+    /** Returns whether one more task may be stopped, by the step's own limit or else by a fraction of its tasks. */
+    boolean toleratesEviction(double maxMissingFraction) {
         int bound = spec.serviceLevel().maxUnavailable();
         int maxMissing = bound > 0 ? bound : (int) Math.max(1, maxMissingFraction * tasks.size());
         int missing = 0;
@@ -92,7 +92,7 @@
                 missing++;
             }
         }
-        return missing + count <= maxMissing;
+        return missing < maxMissing;
     }
 
     /** Returns the number of tasks of this step on a runner. */
