--- a/core/src/test/java/org/pollensill/dispatch/DispatcherFailureTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/DispatcherFailureTest.java
@@ -234,6 +234,7 @@
             list(start.to().id(), T0 + 100);
             reportNewIncarnation(start.to().id(), T0 + 110, List.of());
             commit(T0 + 111);
+            assertEquals(1, orders.starts.size());
             assertEquals(2, orders.starts.get(0).order().run());
         }
 
