--- /dev/null
+++ b/review/standin/Runner.java
@@ -0,0 +1,380 @@
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.pollensill.json.JsonObject;
+
+/** A sound runner: takes orders by call, keeps fences, leases and ends, and writes its entry into the store. */
+final class Runner {
+    static final int HEARTBEAT_MS = 1_500;
+    static final long HOLD_MAX_MS = 6_000;
+    private static final long STOP_MS = 300;
+    private static final long PERCENT = 100;
+    private static final long GANG_MS = 3_000;
+    private static final long CHECKPOINT_MS = 1_000;
+
+    /** A run that began, as the check of a play reads it. */
+    record Start(double atS, String task, int run, String runner, List<String> labels, String checkpoint) {}
+
+    /** A run that ended. */
+    record End(double atS, String task, int run, String runner, String how) {}
+
+    /** How a task behaves: its duration, whether its runs fail at their end, whether it saves, and its gang's size. */
+    record Behaviour(long durationMs, boolean fails, boolean saves, int gangSize) {
+        Behaviour(long durationMs, boolean fails) {
+            this(durationMs, fails, false, 0);
+        }
+    }
+
+    /** One run of a gang: its members work while all are present. */
+    private static final class Gang {
+        private static final Map<String, Gang> GANGS = new HashMap<>();
+        private int present;
+        private long beginNs;
+        private boolean broken;
+
+        static Gang of(String task, int run) {
+            synchronized (GANGS) {
+                return GANGS.computeIfAbsent(task.substring(0, task.lastIndexOf('.')) + " " + run, name -> new Gang());
+            }
+        }
+
+        synchronized void join(int size) {
+            present++;
+            if (present == size && !broken) {
+                beginNs = System.nanoTime();
+            }
+        }
+
+        synchronized void leave() {
+            broken = true;
+        }
+
+        synchronized boolean isBroken() {
+            return broken;
+        }
+
+        synchronized long workedMs() {
+            return beginNs == 0 ? 0 : (System.nanoTime() - beginNs) / 1_000_000;
+        }
+
+        synchronized boolean waits() {
+            return beginNs == 0;
+        }
+    }
+
+    /** Decides how a run behaves from its task and its Spec. */
+    interface Work {
+        Behaviour of(String task, int run, String spec);
+    }
+
+    private static final class Run {
+        private String task;
+        private int run;
+        private long beginMs;
+        private long durationMs;
+        private long savedMs;
+        private boolean saves;
+        private Gang gang;
+        private long stopMs = Long.MAX_VALUE;
+        private boolean fails;
+        private int cpu;
+    }
+
+    final String id;
+    final String ip;
+    final int port;
+    private final String service;
+    private final String zone;
+    private final Store store;
+    private final Journal journal;
+    private final Work work;
+    private final int capacityCpu;
+    /** Whether it rejects what does not fit. */
+    private final boolean guards;
+    int mostCpu;
+    final List<Start> starts = new ArrayList<>();
+    final List<End> ends = new ArrayList<>();
+    private final Map<String, Run> running = new LinkedHashMap<>();
+    private final Map<Long, String> finished = new LinkedHashMap<>();
+    private final Map<String, Integer> closedRuns = new HashMap<>();
+    private List<String> labels;
+    private HttpServer server;
+    private long bornMs;
+    private long clockZeroNs;
+    private long untilMs;
+    private long fence;
+    private long endCount;
+    private long beats;
+    private volatile boolean up;
+
+    Runner(String id, String ip, int port, String service, String zone, List<String> labels, int capacityCpu, boolean guards,
+            Store store, Journal journal, Work work) {
+        this.id = id;
+        this.ip = ip;
+        this.port = port;
+        this.service = service;
+        this.zone = zone;
+        this.labels = labels;
+        this.capacityCpu = capacityCpu;
+        this.guards = guards;
+        this.store = store;
+        this.journal = journal;
+        this.work = work;
+    }
+
+    List<String> labels() {
+        return labels;
+    }
+
+    synchronized int runningCount() {
+        return running.size();
+    }
+
+    boolean isUp() {
+        return up;
+    }
+
+    /** Begins an incarnation: it runs nothing, and has seen no fencing token. */
+    synchronized void begin(List<String> newLabels) throws Exception {
+        labels = newLabels;
+        running.clear();
+        finished.clear();
+        closedRuns.clear();
+        bornMs = System.currentTimeMillis();
+        clockZeroNs = System.nanoTime() - 100_000_000L;
+        untilMs = 0;
+        fence = 0;
+        endCount = 0;
+        up = true;
+        server = Http.serve(ip, port, this::handle);
+        journal.log("runner " + id + " begins, labels " + labels);
+        long incarnation = bornMs;
+        beat(incarnation);
+        sweep(incarnation);
+    }
+
+    /** Ends the process without a word; the entry stays for three heartbeat intervals. */
+    synchronized void crash() {
+        up = false;
+        server.stop(0);
+        for (Run run : running.values()) {
+            ends.add(new End(journal.now(), run.task, run.run, id, "crash"));
+            if (run.gang != null) {
+                run.gang.leave();
+            }
+        }
+        journal.log("runner " + id + " crashes with " + running.size() + " runs");
+        running.clear();
+        long incarnation = bornMs;
+        Journal.later(3L * HEARTBEAT_MS, () -> {
+            if (!up && bornMs == incarnation) {
+                store.write("servers", id, null);
+            }
+        });
+    }
+
+    private synchronized void beat(long incarnation) {
+        if (!up || bornMs != incarnation) {
+            return;
+        }
+        StringBuilder names = new StringBuilder();
+        for (String label : labels) {
+            names.append(names.length() == 0 ? "" : ",").append('"').append(label).append('"');
+        }
+        store.write("servers", id, "{\"Service\":\"" + service + "\",\"Address\":\"" + ip + ":" + port
+                + "\",\"Zone\":\"" + zone + "\",\"Version\":\"v1\",\"Slots\":8,\"State\":\"ready\",\"ColdRemainingMs\":0,"
+                + "\"Capacity\":{\"Cpu\":" + capacityCpu + ",\"MemMb\":64000,\"Gpu\":0},\"Labels\":[" + names
+                + "],\"ClockMs\":" + clock() + ",\"Sequence\":" + ++beats + ",\"born\":" + bornMs + "}");
+        Journal.later(HEARTBEAT_MS, () -> beat(incarnation));
+    }
+
+    private long clock() {
+        return (System.nanoTime() - clockZeroNs) / 1_000_000;
+    }
+
+    private void sweep(long incarnation) {
+        synchronized (this) {
+            if (!up || bornMs != incarnation) {
+                return;
+            }
+            advance();
+        }
+        Journal.later(10, () -> sweep(incarnation));
+    }
+
+    private void advance() {
+        long nowMs = clock();
+        for (Run run : new ArrayList<>(running.values())) {
+            if (nowMs >= untilMs) {
+                end(run, "lapsed");
+            } else if (nowMs >= run.stopMs) {
+                end(run, "stopped");
+            } else if (run.gang != null && run.gang.isBroken()) {
+                end(run, "broken");
+            } else if (run.gang != null && run.gang.waits() && nowMs >= run.beginMs + GANG_MS) {
+                end(run, "alone");
+            } else if (progressMs(run) >= run.durationMs) {
+                end(run, run.fails ? "failed" : "done");
+            }
+        }
+    }
+
+    private long progressMs(Run run) {
+        return run.savedMs + (run.gang == null ? clock() - run.beginMs : run.gang.workedMs());
+    }
+
+    /** The last value saved, one for each second of work; it names the gang or the task and the progress. */
+    private String checkpoint(Run run, boolean now) {
+        long progressMs = Math.min(progressMs(run), run.durationMs);
+        long savedMs = now ? progressMs : progressMs / CHECKPOINT_MS * CHECKPOINT_MS;
+        return run.saves && savedMs > 0 ? String.format("%08x", savedMs) : "";
+    }
+
+    private void end(Run run, String how) {
+        if (run.gang != null && !how.equals("done")) {
+            run.gang.leave();
+        }
+        running.remove(run.task);
+        closedRuns.merge(run.task, run.run, Math::max);
+        long number = ++endCount;
+        finished.put(number, "[" + number + ",\"" + run.task + "\"," + run.run + ",\"" + how + "\",\""
+                + checkpoint(run, how.equals("stopped")) + "\"]");
+        ends.add(new End(journal.now(), run.task, run.run, id, how));
+        journal.log("runner " + id + " ends " + run.task + " run " + run.run + " " + how);
+        notifyAll();
+    }
+
+    private Http.Response handle(
+            String method, String path, Map<String, String> query, HttpExchange exchange, byte[] body) throws Exception {
+        if (path.equals("/health")) {
+            return new Http.Response(200, "");
+        }
+        String expected = exchange.getRequestHeaders().getFirst("X-Pollensill-Expect-Instance");
+        if (expected != null && !expected.equals(id)) {
+            return new Http.Response(421, "");
+        }
+        JsonObject order = JsonObject.parse(body);
+        synchronized (this) {
+            if (!up) {
+                return null;
+            }
+            advance();
+            long token = order.integer("FencingToken").orElse(0L);
+            if (token < fence) {
+                return refuse("fence");
+            }
+            fence = token;
+            switch (path) {
+                case "/api/run-start":
+                    return start(order);
+                case "/api/run-stop":
+                    return stop(order);
+                case "/api/hold":
+                    return hold(order);
+                case "/api/pace":
+                    return new Http.Response(200, "{\"ClockMs\":" + clock() + "}");
+                default:
+                    return new Http.Response(404, "");
+            }
+        }
+    }
+
+    private Http.Response refuse(String reason) {
+        return new Http.Response(409, "{\"ClockMs\":" + clock() + ",\"Reason\":\"" + reason + "\"}");
+    }
+
+    private void extend(JsonObject order) {
+        if (order.integer("UntilMs").isPresent()) {
+            untilMs = Math.max(untilMs, Math.min(order.integer("UntilMs").get(), clock() + HOLD_MAX_MS));
+        }
+    }
+
+    private Http.Response start(JsonObject order) {
+        String task = order.text("Task").orElse("");
+        int run = order.integer("Run").orElse(0L).intValue();
+        if (order.integer("UntilMs").orElse(0L) <= clock()) {
+            return refuse("late");
+        }
+        extend(order);
+        Run present = running.get(task);
+        if (present != null && present.run == run) {
+            return new Http.Response(200, "{\"ClockMs\":" + clock() + "}");
+        }
+        if (run <= closedRuns.getOrDefault(task, 0) || present != null) {
+            return refuse("old");
+        }
+        String spec = order.text("Spec").orElse("");
+        Run begun = new Run();
+        begun.cpu = Integer.parseInt(spec.substring(spec.indexOf("cpu=") + 4).split(" ")[0]);
+        int used = running.values().stream().mapToInt(other -> other.cpu).sum();
+        if (guards && used + begun.cpu > capacityCpu) {
+            return refuse("room");
+        }
+        Behaviour behaviour = work.of(task, run, spec);
+        begun.task = task;
+        begun.run = run;
+        begun.beginMs = clock();
+        begun.durationMs = behaviour.durationMs();
+        begun.saves = behaviour.saves();
+        String checkpoint = order.text("Checkpoint").orElse("");
+        begun.savedMs = checkpoint.isEmpty() ? 0 : Long.parseLong(checkpoint, 16);
+        if (behaviour.gangSize() > 0) {
+            begun.gang = Gang.of(task, run);
+            begun.gang.join(behaviour.gangSize());
+        }
+        begun.fails = behaviour.fails();
+        running.put(task, begun);
+        mostCpu = Math.max(mostCpu, used + begun.cpu);
+        starts.add(new Start(
+                journal.now(), task, run, id, labels, checkpoint));
+        journal.log("runner " + id + " starts " + task + " run " + run + " fence " + fence
+                + (checkpoint.isEmpty() ? "" : " checkpoint " + checkpoint));
+        return new Http.Response(200, "{\"ClockMs\":" + clock() + "}");
+    }
+
+    private Http.Response stop(JsonObject order) {
+        String task = order.text("Task").orElse("");
+        int run = order.integer("Run").orElse(0L).intValue();
+        Run present = running.get(task);
+        if (present != null && present.run == run) {
+            present.stopMs = Math.min(present.stopMs, clock() + STOP_MS);
+        } else {
+            closedRuns.merge(task, run, Math::max);
+        }
+        return new Http.Response(200, "{\"ClockMs\":" + clock() + "}");
+    }
+
+    private Http.Response hold(JsonObject order) throws InterruptedException {
+        extend(order);
+        long acknowledged = order.integer("AckSeq").orElse(0L);
+        finished.keySet().removeIf(number -> number <= acknowledged);
+        long incarnation = bornMs;
+        long endMs = clock() + Math.min(2_000, order.integer("WaitMs").orElse(0L));
+        while (up && bornMs == incarnation && finished.isEmpty() && clock() < endMs) {
+            wait(Math.max(1, endMs - clock()));
+        }
+        if (!up || bornMs != incarnation) {
+            return null;
+        }
+        StringBuilder rows = new StringBuilder();
+        for (Run run : running.values()) {
+            long percent = Math.min(PERCENT, PERCENT * progressMs(run) / Math.max(1, run.durationMs));
+            rows.append(rows.length() == 0 ? "" : ",").append("[\"" + run.task + "\"," + run.run + ",\""
+                    + checkpoint(run, false) + "\"," + percent
+                    + "," + run.cpu + "]");
+        }
+        StringBuilder ended = new StringBuilder();
+        int count = 0;
+        for (String end : finished.values()) {
+            if (count++ < 500) {
+                ended.append(ended.length() == 0 ? "" : ",").append(end);
+            }
+        }
+        return new Http.Response(200, "{\"ClockMs\":" + clock() + ",\"born\":" + bornMs + ",\"Running\":[" + rows
+                + "],\"Finished\":[" + ended + "]}");
+    }
+}
