--- a/review/standin/CancelledUnknown.java
+++ b/review/standin/CancelledUnknown.java
@@ -14,7 +14,7 @@
     static boolean broken(Fleet fleet, boolean trouble) throws Exception {
         Runner.Work work = (task, run, spec) -> new Runner.Behaviour(1_000, false);
         for (int i = 0; i < 6; i++) {
-            fleet.addRunner(i % 2 == 0 ? "caxias" : "vacaria", List.of("a", "r1-" + i / 3), 16_000, true, work);
+            fleet.addRunner(i % 2 == 0 ? "caxias" : "vacaria", List.of("a", "r1-" + i / 3), 16_000, work);
         }
         fleet.configure(Fleet.route("r-3hwrr6x", PREFIX, 4, 2));
         fleet.start();
--- a/review/standin/LargeJob.java
+++ b/review/standin/LargeJob.java
@@ -10,7 +10,7 @@
     static boolean broken(Fleet fleet, boolean trouble) throws Exception {
         Runner.Work work = (task, run, spec) -> new Runner.Behaviour(800, false);
         for (int i = 0; i < 8; i++) {
-            fleet.addRunner(i % 2 == 0 ? "caxias" : "tramandai", List.of("a", "r1-" + i / 4), 16_000, true, work);
+            fleet.addRunner(i % 2 == 0 ? "caxias" : "tramandai", List.of("a", "r1-" + i / 4), 16_000, work);
         }
         fleet.configure(Fleet.route("r-3hwrr6x", PREFIX, 4, 2));
         fleet.start();
--- a/review/standin/OtherKind.java
+++ b/review/standin/OtherKind.java
@@ -11,7 +11,7 @@
         Runner.Work work = (task, run, spec) -> new Runner.Behaviour(2_000, false);
         String[] zones = {"caxias", "vacaria"};
         for (int i = 0; i < 8; i++) {
-            fleet.addRunner(zones[i % 2], List.of(i < 5 ? "a" : "b", "r1-" + i / 4), 16_000, true, work);
+            fleet.addRunner(zones[i % 2], List.of(i < 5 ? "a" : "b", "r1-" + i / 4), 16_000, work);
         }
         fleet.configure(Fleet.route("r-3hwrr6x", PREFIX, 4, 2));
         fleet.start();
--- a/review/standin/RemovedRoute.java
+++ b/review/standin/RemovedRoute.java
@@ -13,7 +13,7 @@
         // The first run of one task of each job fails, all others end well.
         Runner.Work work = (task, run, spec) -> new Runner.Behaviour(9_000, task.endsWith(".0") && run == 1);
         for (int i = 0; i < 6; i++) {
-            fleet.addRunner(i % 2 == 0 ? "caxias" : "vacaria", List.of("a", "r1-" + i / 3), 16_000, true, work);
+            fleet.addRunner(i % 2 == 0 ? "caxias" : "vacaria", List.of("a", "r1-" + i / 3), 16_000, work);
         }
         String queue = Fleet.route("r-3hwrr6x", PREFIX, ATTEMPTS, 2);
         String other = Fleet.route("r-73d3zji", "/pufi791/", 2, 0);
