--- a/coordinator/src/main/java/org/pollensill/coordinator/Committer.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Committer.java
@@ -21,6 +21,16 @@
 
     private static final long RETRY_DELAY_MS = 100;
 
+    /** The result of a commit. */
+    enum Result {
+        /** The commit took effect. */
+        COMMITTED,
+        /** The store refused the commit for now. */
+        WITHDRAWN,
+        /** The store rejects the content of the commit. */
+        REJECTED
+    }
+
     /** An answer handled later than this after its request is not trusted; the leader row is read instead. */
     private static final long MAX_ANSWER_DELAY_MS = Dispatcher.unconfirmedStartLimitMs();
 
@@ -34,11 +44,12 @@
     private final CoordinatorMetrics metrics;
     private final Runnable onDeposed;
     private final Runnable onIdle;
-    private Consumer<Boolean> outcomeListener = committed -> {};
+    private Consumer<Result> outcomeListener = committed -> {};
     private Optional<Runnable> onReleased = Optional.empty();
     private Runnable beforeRelease = () -> {};
     private long commitStartMs;
     private long leaseConfirmedMs;
+    private long lastCommittedMs;
     private long clockOffsetMs;
     private boolean confirmationRequested;
     private boolean stopped;
@@ -53,6 +64,7 @@
         this.onIdle = onIdle;
         this.commitStartMs = loop.nowMs();
         this.leaseConfirmedMs = loop.nowMs();
+        this.lastCommittedMs = loop.nowMs();
         this.clockOffsetMs = loop.wallClockMs() - loop.nowMs();
     }
 
@@ -108,9 +120,9 @@
      *
      * @param waitingJobs the number of accepted jobs without a started task, by queue
      * @param writes the writes of the commit
-     * @param outcome receives whether the commit took effect; not called when the lease is lost
+     * @param outcome receives the result of the commit; not called when the lease is lost
      */
-    void commit(Map<String, Integer> waitingJobs, List<Write> writes, Consumer<Boolean> outcome) {
+    void commit(Map<String, Integer> waitingJobs, List<Write> writes, Consumer<Result> outcome) {
         confirmationRequested = false;
         outcomeListener = outcome;
         commitStartMs = loop.nowMs();
@@ -190,13 +202,17 @@
             case COMMITTED:
                 metrics.commit("committed", loop.nowMs() - commitStartMs);
                 leaseConfirmedMs = sentMs;
-                onSettled(true);
+                metrics.commitOverdue(0);
+                lastCommittedMs = loop.nowMs();
+                onSettled(Result.COMMITTED);
                 return;
             case WITHDRAWN:
-                metrics.commit("withdrawn", loop.nowMs() - commitStartMs);
-                // The store has just rejected a call, so the next commit is delayed.
-                commitStartMs = loop.nowMs() + RETRY_DELAY_MS;
-                onSettled(false);
+                onNotCommitted("withdrawn");
+                onSettled(Result.WITHDRAWN);
+                return;
+            case REJECTED:
+                onNotCommitted("rejected");
+                onSettled(Result.REJECTED);
                 return;
             case REPEAT:
                 loop.schedule(RETRY_DELAY_MS, this::send);
@@ -215,10 +231,17 @@
         }
     }
 
-    private void onSettled(boolean committed) {
-        Consumer<Boolean> listener = outcomeListener;
+    private void onNotCommitted(String outcome) {
+        metrics.commit(outcome, loop.nowMs() - commitStartMs);
+        metrics.commitOverdue(loop.nowMs() - lastCommittedMs);
+        // The store has just rejected a call, so the next commit is delayed.
+        commitStartMs = loop.nowMs() + RETRY_DELAY_MS;
+    }
+
+    private void onSettled(Result result) {
+        Consumer<Result> listener = outcomeListener;
         outcomeListener = ignored -> {};
-        listener.accept(committed);
+        listener.accept(result);
         if (onReleased.isEmpty()) {
             onIdle.run();
             return;
@@ -227,7 +250,7 @@
             onReleased.get().run();
             return;
         }
-        loop.schedule(committed ? 0 : RETRY_DELAY_MS, () -> {
+        loop.schedule(result == Result.COMMITTED ? 0 : RETRY_DELAY_MS, () -> {
             if (!stopped) {
                 sendRelease(chain.row().waitingJobs());
             }
--- a/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
@@ -94,8 +94,12 @@
                     applyCatalogue(catalogue);
                 });
         this.elector = new LeaderElector(context, incarnation, configWatcher::current, peers::setLeader);
-        this.members = new MemberDirectory(loop, store, health, settings, peers::setMembers);
-        IntakeWriter intakeWriter = new IntakeWriter(loop::nowMs, loop::schedule, store, health, incarnation);
+        this.members = new MemberDirectory(loop, store, health, settings, live -> {
+            peers.setMembers(live);
+            elector.setMembers(live);
+        });
+        IntakeWriter intakeWriter =
+                new IntakeWriter(loop::nowMs, loop::schedule, store, health, incarnation, settings.maxRowBytes());
         JobStateReader stateReader = new JobStateReader(store, health);
         this.endpoint = new JobEndpoint(context, configWatcher, elector, peers, intakeWriter, stateReader);
     }
--- a/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorEvent.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorEvent.java
@@ -56,6 +56,12 @@
     JOB_STATUS(7024, Level.INFO, "job state"),
     /** A client's query or cancellation of a job failed. */
     JOB_QUERY_FAILED(7025, Level.WARN, "job query failed"),
+    /** The store rejects the progress of a job for its content; the job waits and is tried again from time to time. */
+    JOB_SET_ASIDE(7028, Level.WARN, "job set aside"),
+    /** The progress of a job that was set aside is recorded; the job goes on. */
+    JOB_RESUMED(7029, Level.INFO, "job resumed"),
+    /** The store rejects the content of a commit; it is split until the part that causes this is alone. */
+    COMMIT_REJECTED(7043, Level.WARN, "commit rejected"),
     /** A task was placed on a runner. */
     TASK_PLACED(7030, Level.INFO, "task placed"),
     /** A runner has confirmed the start of a task. */
--- a/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorMetrics.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorMetrics.java
@@ -29,6 +29,8 @@
     private final Counter capacityReservations;
     private final Gauge waitingTasks;
     private final Counter waitExplanations;
+    private final Gauge commitOverdue;
+    private final Gauge jobsSetAside;
     private final Gauge leading;
     private final Gauge configurationVersion;
 
@@ -94,6 +96,14 @@
                 .help("Explanations why a task waits, by the most frequent reason")
                 .labelNames("reason")
                 .register(registry);
+        commitOverdue = Gauge.builder()
+                .name("pollensill_commit_overdue_seconds")
+                .help("Time since the leader's last commit that took effect, 0 while its commits take effect")
+                .register(registry);
+        jobsSetAside = Gauge.builder()
+                .name("pollensill_jobs_set_aside")
+                .help("Jobs whose progress the store rejects; nothing of them is started")
+                .register(registry);
         leading = Gauge.builder()
                 .name("pollensill_leading")
                 .help("1 while this process leads")
@@ -125,6 +135,18 @@
         commitTime.observe(tookMs / MS_PER_S);
     }
 
+    void commitOverdue(long overdueMs) {
+        commitOverdue.set(overdueMs / MS_PER_S);
+    }
+
+    void jobSetAside() {
+        jobsSetAside.inc();
+    }
+
+    void jobResumed() {
+        jobsSetAside.dec();
+    }
+
     void quarantined() {
         quarantines.inc();
     }
@@ -168,6 +190,8 @@
         leading.set(isLeader ? 1 : 0);
         if (!isLeader) {
             waitingTasks(0, 0);
+            commitOverdue(0);
+            jobsSetAside.set(0);
         }
     }
 
--- a/coordinator/src/main/java/org/pollensill/coordinator/DecisionLog.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/DecisionLog.java
@@ -52,6 +52,18 @@
         LOG.log(CoordinatorEvent.JOB_STATUS, "job", job, "status", status);
     }
 
+    @Override
+    public void jobSetAside(String job, int rows) {
+        metrics.jobSetAside();
+        LOG.log(CoordinatorEvent.JOB_SET_ASIDE, "job", job, "rows", rows);
+    }
+
+    @Override
+    public void jobResumed(String job) {
+        metrics.jobResumed();
+        LOG.log(CoordinatorEvent.JOB_RESUMED, "job", job);
+    }
+
     @Override
     public void quarantined(String runner, int failures, long forMs) {
         metrics.quarantined();
--- a/coordinator/src/main/java/org/pollensill/coordinator/IntakeWriter.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/IntakeWriter.java
@@ -1,5 +1,6 @@
 package org.pollensill.coordinator;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -19,6 +20,7 @@
 import org.pollensill.platform.PlatformException;
 import org.pollensill.platform.TableService;
 import org.pollensill.platform.Write;
+import org.pollensill.runtime.event.EventLog;
 
 /**
  * Writes accepted jobs to the intake table, several in one transaction. Each write is conditional on the job being
@@ -32,10 +34,14 @@
         STORED,
         /** The job is not stored, and no call in flight can still store it. */
         NOT_STORED,
+        /** The job is not stored, and the store will not take its content. */
+        REJECTED,
         /** The job may be stored, or a call in flight may still store it. */
         UNKNOWN
     }
 
+    private static final EventLog LOG = EventLog.of(IntakeWriter.class);
+
     /** Maximum number of jobs in one transaction, half of the store's limit. */
     private static final int MAX_BATCH_JOBS = 50;
 
@@ -56,6 +62,7 @@
     private static final class PendingJob {
         private final String id;
         private final String value;
+        private final int bytes;
         private final long deadlineMs;
         private final CompletableFuture<Outcome> result = new CompletableFuture<>();
         private int failedAttempts;
@@ -65,6 +72,7 @@
         private PendingJob(String id, String value, long deadlineMs) {
             this.id = id;
             this.value = value;
+            this.bytes = value.getBytes(StandardCharsets.UTF_8).length;
             this.deadlineMs = deadlineMs;
         }
     }
@@ -73,6 +81,8 @@
     private static final class PartitionQueue {
         private final Deque<PendingJob> jobs = new ArrayDeque<>();
         private boolean inFlight;
+        /** Maximum number of jobs in the next transaction, lower after one was rejected for its content. */
+        private int maxBatchJobs = MAX_BATCH_JOBS;
     }
 
     private final LongSupplier clockMs;
@@ -80,6 +90,7 @@
     private final TableService store;
     private final StoreHealth health;
     private final String commitPrefix;
+    private final long maxRowBytes;
     private final Map<String, PartitionQueue> queues = new HashMap<>();
     private long commitCount;
 
@@ -91,18 +102,21 @@
      * @param store the platform's store
      * @param health tracks the outcome of the calls
      * @param commitPrefix prefix of the commit ids
+     * @param maxRowBytes the maximum size of a row in the store
      */
     IntakeWriter(
             LongSupplier clockMs,
             BiConsumer<Long, Runnable> timer,
             TableService store,
             StoreHealth health,
-            String commitPrefix) {
+            String commitPrefix,
+            long maxRowBytes) {
         this.clockMs = clockMs;
         this.timer = timer;
         this.store = store;
         this.health = health;
         this.commitPrefix = commitPrefix;
+        this.maxRowBytes = maxRowBytes;
     }
 
     /**
@@ -114,6 +128,9 @@
      */
     CompletableFuture<Outcome> store(JobRequest request, long deadlineMs) {
         PendingJob pending = new PendingJob(request.id(), JobCodec.encode(request), deadlineMs);
+        if (pending.bytes > maxRowBytes) {
+            return CompletableFuture.completedFuture(Outcome.REJECTED);
+        }
         PartitionQueue queue =
                 queues.computeIfAbsent(Tables.intakePartition(request.id()), partition -> new PartitionQueue());
         queue.jobs.add(pending);
@@ -151,9 +168,9 @@
         List<Condition> conditions = new ArrayList<>();
         List<Write> writes = new ArrayList<>();
         int bytes = 0;
-        while (!queue.jobs.isEmpty() && batch.size() < MAX_BATCH_JOBS) {
+        while (!queue.jobs.isEmpty() && batch.size() < queue.maxBatchJobs) {
             PendingJob next = queue.jobs.peek();
-            if (!batch.isEmpty() && bytes + next.value.length() > MAX_BATCH_BYTES) {
+            if (!batch.isEmpty() && bytes + next.bytes > MAX_BATCH_BYTES) {
                 break;
             }
             String key = Tables.jobKey(next.id);
@@ -166,7 +183,7 @@
             batch.put(key, next);
             conditions.add(Condition.absent(key));
             writes.add(Write.put(key, next.value));
-            bytes += next.value.length();
+            bytes += next.bytes;
         }
         queue.inFlight = true;
         Commit commit = new Commit(commitPrefix + "-" + commitCount++, conditions, writes);
@@ -174,11 +191,17 @@
             queue.inFlight = false;
             batch.values().forEach(pending -> pending.inFlight = false);
             if (failure == null) {
+                queue.maxBatchJobs = MAX_BATCH_JOBS;
                 onOutcome(queue, batch, outcome);
                 sendBatch(queue);
                 return;
             }
-            onFailure(queue, batch, PlatformException.effectOf(failure));
+            PlatformException.Effect effect = PlatformException.effectOf(failure);
+            if (effect == PlatformException.Effect.REJECTED) {
+                onRejected(queue, batch);
+            } else {
+                onFailure(queue, batch, effect);
+            }
             timer.accept(RETRY_DELAY_MS, () -> sendBatch(queue));
         });
     }
@@ -199,6 +222,19 @@
         batch.values().forEach(pending -> pending.result.complete(Outcome.STORED));
     }
 
+    /** Splits a transaction that the store rejects for its content until the job that causes this is alone. */
+    private void onRejected(PartitionQueue queue, Map<String, PendingJob> batch) {
+        LOG.log(CoordinatorEvent.COMMIT_REJECTED, "jobs", batch.size());
+        if (batch.size() > 1) {
+            queue.maxBatchJobs = batch.size() / 2;
+            requeue(queue, new ArrayList<>(batch.values()));
+            return;
+        }
+        queue.maxBatchJobs = MAX_BATCH_JOBS;
+        batch.values()
+                .forEach(pending -> pending.result.complete(pending.mayBeWritten ? Outcome.UNKNOWN : Outcome.REJECTED));
+    }
+
     private void onFailure(PartitionQueue queue, Map<String, PendingJob> batch, PlatformException.Effect effect) {
         List<PendingJob> retries = new ArrayList<>();
         for (PendingJob pending : batch.values()) {
--- a/coordinator/src/main/java/org/pollensill/coordinator/JobEndpoint.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/JobEndpoint.java
@@ -44,7 +44,6 @@
     private final IntakeWriter intakeWriter;
     private final JobStateReader stateReader;
     private final CoordinatorMetrics metrics;
-    private final CoordinatorSettings settings;
 
     JobEndpoint(
             CoordinatorContext context,
@@ -62,7 +61,6 @@
         this.intakeWriter = intakeWriter;
         this.stateReader = stateReader;
         this.metrics = context.metrics();
-        this.settings = context.settings();
     }
 
     @Override
@@ -133,11 +131,6 @@
             answer("submit", responder, Answer.of(400));
             return;
         }
-        if (request.body().length > settings.maxRowBytes()) {
-            LOG.log(CoordinatorEvent.JOB_REFUSED, "job", id, "queue", queue.name(), "reason", "too large");
-            answer("submit", responder, Answer.of(413));
-            return;
-        }
         if (!health.available()) {
             LOG.log(CoordinatorEvent.JOB_REFUSED, "job", id, "queue", queue.name(), "reason", "store lost");
             answer("submit", responder, serviceUnavailable());
@@ -164,6 +157,10 @@
                             tookMs);
                     answer("submit", responder, serviceUnavailable());
                     return;
+                case REJECTED:
+                    LOG.log(CoordinatorEvent.JOB_REFUSED, "job", id, "queue", queue.name(), "reason", "too large");
+                    answer("submit", responder, Answer.of(413));
+                    return;
                 default:
                     LOG.log(CoordinatorEvent.JOB_UNCERTAIN, "job", id, "queue", queue.name(), "tookMs", tookMs);
                     answer("submit", responder, Answer.of(504));
--- a/coordinator/src/main/java/org/pollensill/coordinator/JobExpiry.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/JobExpiry.java
@@ -53,7 +53,9 @@
     /** Jobs whose intake rows are deleted, with the time of the confirmation. */
     private final Map<String, Long> deletedAtMs = new HashMap<>();
 
+    /** Keys of the progress rows to delete. */
     private final Deque<String> progressToDelete = new ArrayDeque<>();
+
     private long nowMs;
 
     /**
@@ -70,8 +72,8 @@
     }
 
     /** Adds progress rows without a job, left by a leader that ended between the two deletions. */
-    void addOrphans(Collection<String> ids) {
-        progressToDelete.addAll(ids);
+    void addOrphans(Collection<String> keys) {
+        progressToDelete.addAll(keys);
     }
 
     /** Starts the deletion of jobs past their retention time, and removes jobs from memory that no read can return. */
@@ -102,7 +104,7 @@
                 return;
             }
             deletedAtMs.put(id, nowMs);
-            progressToDelete.add(id);
+            progressToDelete.add(Tables.progressKey(id));
         });
     }
 
@@ -110,7 +112,7 @@
     List<Write> takeProgressDeletions() {
         List<Write> writes = new ArrayList<>();
         while (!progressToDelete.isEmpty() && writes.size() < MAX_DELETIONS_PER_COMMIT) {
-            writes.add(Write.delete(Tables.progressKey(progressToDelete.poll())));
+            writes.add(Write.delete(progressToDelete.poll()));
         }
         return writes;
     }
@@ -118,7 +120,7 @@
     /** Adds deletions again whose commit certainly did not take effect. */
     void restore(List<Write> writes) {
         for (Write write : writes) {
-            progressToDelete.addFirst(Tables.jobId(write.key()));
+            progressToDelete.addFirst(write.key());
         }
     }
 }
--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderElector.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderElector.java
@@ -58,6 +58,7 @@
     private boolean rereadRequested;
 
     private boolean stopping;
+    private boolean progressRangesAllowed;
     private String lastIncarnation = "";
 
     /** Supplies the configuration in force. */
@@ -94,6 +95,13 @@
         return watch.row().filter(row -> !row.released());
     }
 
+    /** Sets the live members; progress is stored in several rows only once all of them can read it. */
+    void setMembers(Map<String, Member> members) {
+        progressRangesAllowed =
+                members.values().stream().allMatch(member -> member.progressFormat() >= Member.PROGRESS_IN_RANGES);
+        session.ifPresent(running -> running.allowProgressRanges(progressRangesAllowed));
+    }
+
     void setCatalogue(QueueCatalogue catalogue) {
         session.ifPresent(running -> running.setCatalogue(catalogue));
         campaignIfVacant();
@@ -271,7 +279,7 @@
             newSession.release(() -> session = Optional.empty());
             return;
         }
-        newSession.start(configSource.current());
+        newSession.start(configSource.current(), progressRangesAllowed);
     }
 
     private void onDeposed() {
--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
@@ -1,9 +1,8 @@
 package org.pollensill.coordinator;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 
 import org.pollensill.adapter.RunnerEntryCodec;
@@ -13,6 +12,7 @@
 import org.pollensill.job.JobCodec;
 import org.pollensill.job.JobRecord;
 import org.pollensill.job.JobStatus;
+import org.pollensill.job.StoredProgress;
 import org.pollensill.json.JsonSyntaxException;
 import org.pollensill.leader.CommitChain;
 import org.pollensill.platform.Row;
@@ -57,7 +57,7 @@
     private final OrderSender orders;
     private final Dispatcher dispatcher;
     private final IntakeFeed intakeFeed;
-    private final Map<String, JobRecord> progressRecords = new HashMap<>();
+    private final StoredProgress progress = new StoredProgress();
     private final JobExpiry expiry;
     private String storedEstimates = "";
     private long estimatesCheckedAtMs;
@@ -97,7 +97,8 @@
         this.intakeFeed = new IntakeFeed(loop, store, health, this::onIntake);
     }
 
-    void start(Optional<QueueCatalogue> catalogue) {
+    void start(Optional<QueueCatalogue> catalogue, boolean progressRangesAllowed) {
+        allowProgressRanges(progressRangesAllowed);
         catalogue.ifPresent(dispatcher::setCatalogue);
         loadEstimates();
         loadProgress();
@@ -111,6 +112,11 @@
         commitPending();
     }
 
+    /** Sets whether all coordinators that may lead can read progress that is stored in several rows. */
+    void allowProgressRanges(boolean allowed) {
+        dispatcher.allowProgressRanges(allowed);
+    }
+
     /** Stops all activity without releasing the lease in the store. */
     void stop() {
         stopped = true;
@@ -177,7 +183,8 @@
         }
         estimatesCheckedAtMs = nowMs;
         String estimates = dispatcher.encodeInterferenceModel();
-        if (estimates.equals(storedEstimates) || estimates.length() > settings.maxRowBytes()) {
+        if (estimates.equals(storedEstimates)
+                || estimates.getBytes(StandardCharsets.UTF_8).length > settings.maxRowBytes()) {
             return Optional.empty();
         }
         storedEstimates = estimates;
@@ -193,8 +200,8 @@
 
     private void loadProgressRow(Row row) {
         try {
-            progressRecords.put(Tables.jobId(row.key()), JobCodec.decodeRecord(row.value()));
-        } catch (JsonSyntaxException e) {
+            progress.add(row);
+        } catch (JsonSyntaxException | RuntimeException e) {
             LOG.log(CoordinatorEvent.ROW_UNREADABLE, "key", row.key(), "problem", e.getMessage());
         }
     }
@@ -214,8 +221,7 @@
             }
             if (!jobsLoaded) {
                 jobsLoaded = true;
-                expiry.addOrphans(progressRecords.keySet());
-                progressRecords.clear();
+                expiry.addOrphans(progress.takeRemaining());
                 dispatcher.startOrders();
                 logLoaded();
             }
@@ -225,7 +231,7 @@
 
     private void addJob(Row row, long nowMs) {
         try {
-            Optional<JobRecord> record = Optional.ofNullable(progressRecords.remove(Tables.jobId(row.key())));
+            Optional<JobRecord> record = progress.take(Tables.jobId(row.key()));
             dispatcher.addJob(JobCodec.decode(row.value()), record, nowMs);
         } catch (JsonSyntaxException | RuntimeException e) {
             // One job that cannot be added must not keep the others from being loaded.
@@ -323,15 +329,20 @@
         batch.ifPresent(changes -> writes.addAll(changes.writes()));
         List<Write> expired = batch.isEmpty() && jobsLoaded ? expiry.takeProgressDeletions() : List.of();
         writes.addAll(expired);
-        estimatesWrite(nowMs).ifPresent(writes::add);
-        committer.commit(dispatcher.waitingJobs(), writes, committed -> {
-            if (!committed) {
+        Optional<Write> estimates = estimatesWrite(nowMs);
+        estimates.ifPresent(writes::add);
+        committer.commit(dispatcher.waitingJobs(), writes, result -> {
+            if (result != Committer.Result.COMMITTED) {
                 expiry.restore(expired);
             }
+            if (result == Committer.Result.REJECTED) {
+                onRejected(batch, writes.size(), estimates.isPresent());
+                return;
+            }
             if (batch.isEmpty()) {
                 return;
             }
-            if (committed) {
+            if (result == Committer.Result.COMMITTED) {
                 dispatcher.committed(batch.get(), loop.nowMs());
             } else {
                 dispatcher.withdrawn(batch.get());
@@ -339,6 +350,19 @@
         });
     }
 
+    /** Handles the rejection of a commit's content; the next commit is without the estimates, which may be the cause. */
+    private void onRejected(Optional<Batch> batch, int writeCount, boolean withEstimates) {
+        LOG.log(CoordinatorEvent.COMMIT_REJECTED, "writes", writeCount, "withEstimates", withEstimates);
+        if (batch.isEmpty()) {
+            return;
+        }
+        if (withEstimates) {
+            dispatcher.withdrawn(batch.get());
+        } else {
+            dispatcher.rejected(batch.get(), loop.nowMs());
+        }
+    }
+
     private void runExpiry() {
         if (stopped) {
             return;
--- a/coordinator/src/main/java/org/pollensill/coordinator/Member.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Member.java
@@ -12,8 +12,15 @@
  * @param peerAddress its address for other coordinators
  * @param region its region
  * @param linkMbps the bandwidth of its network link, in megabits per second each way
+ * @param progressFormat the latest format of the stored progress of jobs that it reads
  */
-record Member(InetSocketAddress peerAddress, String region, double linkMbps) {
+record Member(InetSocketAddress peerAddress, String region, double linkMbps, int progressFormat) {
+
+    /** Format of the stored progress of jobs: in one row. */
+    static final int PROGRESS_IN_ONE_ROW = 1;
+
+    /** Format of the stored progress of jobs: in one row for each range of tasks. */
+    static final int PROGRESS_IN_RANGES = 2;
 
     /** The member with the most bandwidth first, then by name, so that all members of a region select the same one. */
     private static final Comparator<Map.Entry<String, Member>> READER_ORDER =
--- a/coordinator/src/main/java/org/pollensill/coordinator/MemberDirectory.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/MemberDirectory.java
@@ -72,6 +72,7 @@
             json.writeStringField("region", settings.region());
             json.writeNumberField("linkMbps", settings.linkMbps());
             json.writeStringField("peerAddress", Addresses.format(settings.peerAddress()));
+            json.writeNumberField("progressFormat", Member.PROGRESS_IN_RANGES);
             json.writeNumberField("refresh", writeCount);
         });
         writeCount++;
@@ -130,7 +131,10 @@
             return Optional.of(new Member(
                     Addresses.parse(address.get()),
                     object.text("region").orElse(""),
-                    object.number("linkMbps").orElse(0.0)));
+                    object.number("linkMbps").orElse(0.0),
+                    object.integer("progressFormat")
+                            .orElse((long) Member.PROGRESS_IN_ONE_ROW)
+                            .intValue()));
         } catch (JsonSyntaxException | AddressException e) {
             LOG.log(CoordinatorEvent.ROW_UNREADABLE, "key", row.key(), "problem", e.getMessage());
             return Optional.empty();
--- a/coordinator/src/test/java/org/pollensill/coordinator/IntakeWriterTest.java
+++ b/coordinator/src/test/java/org/pollensill/coordinator/IntakeWriterTest.java
@@ -29,6 +29,7 @@
 class IntakeWriterTest {
 
     private static final long DEADLINE_MS = 2_850;
+    private static final long MAX_ROW_BYTES = 65_536;
 
     private record Timer(long atMs, Runnable action) {}
 
@@ -54,7 +55,8 @@
                 }
             },
             health,
-            "test");
+            "test",
+            MAX_ROW_BYTES);
 
     private static JobRequest job(String id) {
         StepSpec step = new StepSpec(
@@ -150,6 +152,49 @@
             assertEquals(Optional.of(IntakeWriter.Outcome.UNKNOWN), outcome(result));
         }
 
+        // Guards against a refusal of all jobs of a transaction that the store rejects for one of them.
+        @Test
+        void shouldStoreTheOtherJobsWhenTheStoreRejectsOne() {
+            writer.store(job("aaaaaaaaaaaaaaaa"), DEADLINE_MS);
+            List<CompletableFuture<IntakeWriter.Outcome>> results = new ArrayList<>();
+            for (int i = 0; i < 5; i++) {
+                results.add(writer.store(job("abbbbbbbbbbbbbb" + i), DEADLINE_MS));
+            }
+            answers.get(0).complete(new CommitOutcome.Committed(Map.of()));
+            for (int call = 1; call < answers.size(); call++) {
+                boolean rejected = sent.get(call).writes().stream()
+                        .anyMatch(write -> write.key().endsWith("3"));
+                if (rejected) {
+                    answers.get(call)
+                            .completeExceptionally(
+                                    new PlatformException(PlatformException.Effect.REJECTED, "answered 400"));
+                } else {
+                    answers.get(call).complete(new CommitOutcome.Committed(Map.of()));
+                }
+                advance(nowMs + 100);
+            }
+            for (int i = 0; i < results.size(); i++) {
+                IntakeWriter.Outcome expected = i == 3 ? IntakeWriter.Outcome.REJECTED : IntakeWriter.Outcome.STORED;
+                assertEquals(Optional.of(expected), outcome(results.get(i)), "job " + i);
+            }
+        }
+
+        @Test
+        void shouldRejectAJobWhoseRowIsTooLargeAtOnce() {
+            StepSpec step = new StepSpec(
+                    1, new Resources(1_000, 0, 0), 500, List.of(), Set.of(), PlacementRule.ANY, ServiceLevel.NONE);
+            JobRequest large = new JobRequest(
+                    "aaaaaaaaaaaaaaaa",
+                    "queue",
+                    "service",
+                    "\u00e4".repeat((int) MAX_ROW_BYTES / 2),
+                    List.of(step),
+                    JobSchedule.AT_ONCE,
+                    0);
+            assertEquals(Optional.of(IntakeWriter.Outcome.REJECTED), outcome(writer.store(large, DEADLINE_MS)));
+            assertTrue(sent.isEmpty());
+        }
+
         @Test
         void shouldReportNotStoredAfterTwoRejectedAttempts() {
             CompletableFuture<IntakeWriter.Outcome> result = writer.store(job("aaaaaaaaaaaaaaaa"), DEADLINE_MS);
--- a/coordinator/src/test/java/org/pollensill/coordinator/JobExpiryTest.java
+++ b/coordinator/src/test/java/org/pollensill/coordinator/JobExpiryTest.java
@@ -105,7 +105,7 @@
 
         @Test
         void shouldDeleteProgressWithoutJob() {
-            expiry.addOrphans(List.of(JOB));
+            expiry.addOrphans(List.of(Tables.progressKey(JOB)));
             assertEquals(List.of(Write.delete(Tables.progressKey(JOB))), expiry.takeProgressDeletions());
         }
     }
--- a/coordinator/src/test/java/org/pollensill/coordinator/MemberTest.java
+++ b/coordinator/src/test/java/org/pollensill/coordinator/MemberTest.java
@@ -11,7 +11,8 @@
 class MemberTest {
 
     private static Member member(String region, double linkMbps) {
-        return new Member(InetSocketAddress.createUnresolved("10.0.0.1", 1), region, linkMbps);
+        return new Member(
+                InetSocketAddress.createUnresolved("10.0.0.1", 1), region, linkMbps, Member.PROGRESS_IN_RANGES);
     }
 
     @Test
--- a/core/src/main/java/org/pollensill/dispatch/Batch.java
+++ b/core/src/main/java/org/pollensill/dispatch/Batch.java
@@ -1,11 +1,11 @@
 package org.pollensill.dispatch;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
-import org.pollensill.job.JobCodec;
 import org.pollensill.job.JobStatus;
 import org.pollensill.platform.Write;
 
@@ -20,6 +20,7 @@
      */
     record Placement(TaskState task, int run) {}
 
+    private final Map<JobState, BitSet> rows = new LinkedHashMap<>();
     private final Map<JobState, JobStatus> statuses = new LinkedHashMap<>();
     private final List<Placement> placements = new ArrayList<>();
     private final Map<RunnerState, Long> ends = new LinkedHashMap<>();
@@ -27,11 +28,28 @@
 
     Batch() {}
 
-    void add(JobState job, String key) {
-        statuses.put(job, job.status);
-        writes.add(Write.put(key, JobCodec.encode(job.record())));
+    void add(JobState job, int row, Write write) {
+        rows.computeIfAbsent(job, changed -> new BitSet()).set(row);
+        writes.add(write);
+        if (row == 0) {
+            statuses.put(job, job.status);
+        }
     }
 
+    int size() {
+        return writes.size();
+    }
+
+    boolean contains(JobState job, int row) {
+        return rows.containsKey(job) && rows.get(job).get(row);
+    }
+
+    /** Returns the rows that the commit writes, by job. */
+    Map<JobState, BitSet> rows() {
+        return rows;
+    }
+
+    /** Returns the states that the commit records. */
     Map<JobState, JobStatus> statuses() {
         return statuses;
     }
--- a/core/src/main/java/org/pollensill/dispatch/DispatchListener.java
+++ b/core/src/main/java/org/pollensill/dispatch/DispatchListener.java
@@ -78,6 +78,21 @@
      */
     void statusChanged(String job, JobStatus status);
 
+    /**
+     * Called when the progress of a job cannot be recorded, because the store rejects its content.
+     *
+     * @param job the job, which is set aside
+     * @param rows number of rows that cannot be written
+     */
+    void jobSetAside(String job, int rows);
+
+    /**
+     * Called when the progress of a job that was set aside is recorded.
+     *
+     * @param job the job
+     */
+    void jobResumed(String job);
+
     /**
      * Called when a runner is quarantined.
      *
--- a/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
@@ -46,7 +46,7 @@
             Orders orders,
             DispatchListener listener) {
         this.fleet = new Fleet(nowMs + inheritedLeaseMs);
-        this.pendingChanges = new PendingChanges(recordKeyPrefix);
+        this.pendingChanges = new PendingChanges(recordKeyPrefix, listener);
         this.jobs = new JobTable(pendingChanges, listener);
         RunnerHealth health = new RunnerHealth(listener);
         this.reportHandler = new ReportHandler(jobs, pendingChanges, health, listener, orders);
@@ -195,7 +195,7 @@
             return Optional.empty();
         }
         taskScheduler.place(nowMs);
-        Optional<Batch> batch = pendingChanges.take();
+        Optional<Batch> batch = pendingChanges.take(nowMs);
         if (batch.isEmpty()) {
             acknowledge(pendingChanges.takeEndsWithoutChanges(), nowMs);
         }
@@ -212,6 +212,7 @@
         for (Map.Entry<JobState, JobStatus> status : batch.statuses().entrySet()) {
             status.getKey().recordedStatus = status.getValue();
         }
+        pendingChanges.committed(batch);
         acknowledge(batch.ends(), nowMs);
         for (Batch.Placement placement : batch.placements()) {
             TaskState task = placement.task();
@@ -242,6 +243,26 @@
         pendingChanges.restore(batch);
     }
 
+    /**
+     * Restores the changes of a batch that the store rejects for its content. Smaller batches follow until the job that
+     * causes the rejection is alone; that job is set aside and tried again from time to time.
+     *
+     * @param batch the batch
+     * @param nowMs the time
+     */
+    public void rejected(Batch batch, long nowMs) {
+        pendingChanges.rejected(batch, nowMs);
+    }
+
+    /**
+     * Sets whether the progress of a job of many tasks is stored in several rows.
+     *
+     * @param allowed whether all coordinators that may lead can read them
+     */
+    public void allowProgressRanges(boolean allowed) {
+        pendingChanges.allowRanges(allowed);
+    }
+
     /**
      * Handles the answer to a start order.
      *
--- a/core/src/main/java/org/pollensill/dispatch/JobState.java
+++ b/core/src/main/java/org/pollensill/dispatch/JobState.java
@@ -1,12 +1,15 @@
 package org.pollensill.dispatch;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
 import java.util.Optional;
 
+import org.pollensill.job.JobCodec;
 import org.pollensill.job.JobRecord;
 import org.pollensill.job.JobRequest;
 import org.pollensill.job.JobStatus;
+import org.pollensill.job.ProgressLayout;
 import org.pollensill.job.TaskRecord;
 import org.pollensill.queue.AdviceTiming;
 
@@ -35,17 +38,36 @@
 
     long finalAtMs;
 
+    /** Whether the progress is stored in rows by range of tasks, and no longer in a single one. */
+    boolean storedInRanges;
+
+    /** The further rows of the progress that may be stored. */
+    final BitSet furtherRows = new BitSet();
+
+    /** Whether the progress cannot be recorded for now, so that nothing of the job is started. */
+    boolean setAside;
+
+    /** The tasks of all steps; each stands at its ordinal. */
+    private final List<TaskState> tasks = new ArrayList<>();
+
     JobState(JobRequest request, long nowMs) {
         this.request = request;
         this.service = request.service();
         this.addedAtMs = nowMs;
         for (int k = 0; k < request.schedule().occurrenceCount(); k++) {
             for (int i = 0; i < request.steps().size(); i++) {
-                steps.add(new StepState(this, k, i, request.steps().get(i)));
+                StepState step = new StepState(this, k, i, request.steps().get(i), tasks.size());
+                steps.add(step);
+                tasks.addAll(step.tasks);
             }
         }
     }
 
+    /** Returns the number of rows that the progress takes if it is stored by range of tasks. */
+    int rowCount() {
+        return ProgressLayout.rowOf(Math.max(0, tasks.size() - 1)) + 1;
+    }
+
     StepState step(int occurrence, int number) {
         return steps.get(occurrence * request.steps().size() + number);
     }
@@ -111,17 +133,37 @@
         return nowMs < addedAtMs + MAX_LATENESS_FACTOR * objectiveMs;
     }
 
-    JobRecord record() {
-        List<TaskRecord> tasks = new ArrayList<>();
-        if (!status.isFinal()) {
-            for (StepState step : steps) {
-                for (TaskState task : step.tasks) {
-                    if (task.run > 0) {
-                        tasks.add(task.record());
-                    }
-                }
+    /** Returns the records of the tasks that have been placed and belong to a row; none once the job has ended. */
+    List<TaskRecord> recordsOfRow(int row) {
+        int first = storedInRanges ? row * ProgressLayout.TASKS_PER_ROW : 0;
+        int end = storedInRanges ? Math.min(tasks.size(), first + ProgressLayout.TASKS_PER_ROW) : tasks.size();
+        List<TaskRecord> records = new ArrayList<>();
+        if (status.isFinal()) {
+            return records;
+        }
+        for (TaskState task : tasks.subList(first, end)) {
+            if (task.run > 0) {
+                records.add(task.record());
             }
         }
-        return new JobRecord(status, tasks);
+        return records;
+    }
+
+    /** Returns the rows to which tasks belong that have been placed. */
+    BitSet rowsWithRecords() {
+        BitSet rows = new BitSet();
+        for (TaskState task : tasks) {
+            if (task.run > 0) {
+                rows.set(task.progressRow());
+            }
+        }
+        return rows;
+    }
+
+    /** Returns the stored form of a row of the job's progress. */
+    String encodeRow(int row) {
+        return row == 0
+                ? JobCodec.encode(new JobRecord(status, recordsOfRow(0)))
+                : JobCodec.encodeTasks(recordsOfRow(row));
     }
 }
--- a/core/src/main/java/org/pollensill/dispatch/JobTable.java
+++ b/core/src/main/java/org/pollensill/dispatch/JobTable.java
@@ -134,6 +134,12 @@
     private void restore(JobState job, JobRecord record, Fleet fleet, long nowMs) {
         job.status = record.status();
         job.recordedStatus = record.status();
+        record.furtherRows().forEach(job.furtherRows::set);
+        job.storedInRanges = !record.furtherRows().isEmpty() && rangesComplete(job, record);
+        if (job.status.isFinal() && !job.furtherRows.isEmpty()) {
+            // A former leader ended before it could delete them.
+            pendingChanges.changed(job);
+        }
         for (TaskRecord stored : record.tasks()) {
             if (!job.contains(stored.occurrence(), stored.step(), stored.index())) {
                 continue;
@@ -168,6 +174,23 @@
         }
     }
 
+    /** Returns whether each task that is recorded lies in row 0 or in a further row that is stored. */
+    private static boolean rangesComplete(JobState job, JobRecord record) {
+        for (TaskRecord stored : record.tasks()) {
+            if (!job.contains(stored.occurrence(), stored.step(), stored.index())) {
+                continue;
+            }
+            int row = job.step(stored.occurrence(), stored.step())
+                    .tasks
+                    .get(stored.index())
+                    .progressRow();
+            if (row > 0 && !record.furtherRows().contains(row)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Makes a step ready if its preceding steps are complete; a step of a timed job waits until it is due. */
     private void makeReadyIfUnblocked(StepState step, long nowMs) {
         if (step.ready || step.complete()) {
@@ -227,7 +250,7 @@
                 ready.remove(step);
                 continue;
             }
-            if (step.hasPlaceableTask(nowMs)) {
+            if (!step.job.setAside && step.hasPlaceableTask(nowMs)) {
                 ranked.add(RankedStep.of(step, nowMs));
             }
         }
@@ -266,7 +289,7 @@
         task.phase = TaskState.Phase.DONE;
         task.release();
         step.done++;
-        pendingChanges.changed(step.job);
+        pendingChanges.changed(task);
         if (!step.complete()) {
             return;
         }
--- a/core/src/main/java/org/pollensill/dispatch/ReportHandler.java
+++ b/core/src/main/java/org/pollensill/dispatch/ReportHandler.java
@@ -141,6 +141,7 @@
             task.checkpoint = end.checkpoint();
         }
         JobState job = task.step.job;
+        pendingChanges.endedRun(runner, job);
         if (job.status.isFinal()) {
             task.release();
             return;
@@ -195,7 +196,7 @@
         task.release();
         jobs.beginWait(task, nowMs);
         task.notBeforeMs = nowMs + delayMs;
-        pendingChanges.changed(task.step.job);
+        pendingChanges.changed(task);
     }
 
     /** Releases a run whose lease has expired. */
@@ -231,7 +232,7 @@
             if (task.phase == TaskState.Phase.RUNNING) {
                 task.confirmedAtRenewal = runner.renewalSequence;
             }
-            pendingChanges.changed(task.step.job);
+            pendingChanges.changed(task);
         }
         runner.beginIncarnation(report.incarnationStartMs());
         if (tasksStay) {
--- a/core/src/main/java/org/pollensill/dispatch/StepState.java
+++ b/core/src/main/java/org/pollensill/dispatch/StepState.java
@@ -31,13 +31,13 @@
     /** Time of the last explanation why a task waits. */
     long explainedAtMs = Long.MIN_VALUE / 2;
 
-    StepState(JobState job, int occurrence, int number, StepSpec spec) {
+    StepState(JobState job, int occurrence, int number, StepSpec spec, int firstOrdinal) {
         this.job = job;
         this.occurrence = occurrence;
         this.number = number;
         this.spec = spec;
         for (int i = 0; i < spec.count(); i++) {
-            tasks.add(new TaskState(this, i));
+            tasks.add(new TaskState(this, i, firstOrdinal + i));
         }
     }
 
--- a/core/src/main/java/org/pollensill/dispatch/TaskState.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskState.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.pollensill.job.ProgressLayout;
 import org.pollensill.job.TaskName;
 import org.pollensill.job.TaskRecord;
 
@@ -29,6 +30,9 @@
 
     final StepState step;
     final TaskName name;
+    /** Number of the task in its job. */
+    final int ordinal;
+
     Phase phase = Phase.WAITING;
     int run;
     int failures;
@@ -97,8 +101,9 @@
 
     long idleSlackAtMs = Long.MIN_VALUE / 2;
 
-    TaskState(StepState step, int index) {
+    TaskState(StepState step, int index, int ordinal) {
         this.step = step;
+        this.ordinal = ordinal;
         this.name = new TaskName(step.job.request.id(), step.occurrence, step.number, index);
     }
 
@@ -170,6 +175,11 @@
         }
     }
 
+    /** Returns the number of the row that holds the task's progress, where that is stored by range of tasks. */
+    int progressRow() {
+        return ProgressLayout.rowOf(ordinal);
+    }
+
     TaskRecord record() {
         Optional<TaskRecord.RunnerIncarnation> assignedRunner = runner == null
                 ? Optional.empty()
--- a/core/src/main/java/org/pollensill/job/JobCodec.java
+++ b/core/src/main/java/org/pollensill/job/JobCodec.java
@@ -161,28 +161,42 @@
     public static String encode(JobRecord job) {
         return JsonText.object(json -> {
             json.writeStringField("status", job.status().name());
-            json.writeArrayFieldStart("tasks");
-            for (TaskRecord task : job.tasks()) {
-                json.writeStartArray();
-                json.writeNumber(task.occurrence());
-                json.writeNumber(task.step());
-                json.writeNumber(task.index());
-                json.writeNumber(task.done() ? 1 : 0);
-                json.writeNumber(task.run());
-                json.writeNumber(task.failures());
-                json.writeString(task.checkpoint());
-                json.writeString(task.assignedRunner()
-                        .map(TaskRecord.RunnerIncarnation::runnerId)
-                        .orElse(""));
-                json.writeNumber(task.assignedRunner()
-                        .map(TaskRecord.RunnerIncarnation::incarnationStartMs)
-                        .orElse(0L));
-                json.writeEndArray();
-            }
-            json.writeEndArray();
+            writeTasks(json, job.tasks());
         });
     }
 
+    /**
+     * Returns the stored form of a further row of a job's progress.
+     *
+     * @param tasks the tasks of the row
+     * @return the JSON text
+     */
+    public static String encodeTasks(List<TaskRecord> tasks) {
+        return JsonText.object(json -> writeTasks(json, tasks));
+    }
+
+    private static void writeTasks(JsonGenerator json, List<TaskRecord> tasks) throws IOException {
+        json.writeArrayFieldStart("tasks");
+        for (TaskRecord task : tasks) {
+            json.writeStartArray();
+            json.writeNumber(task.occurrence());
+            json.writeNumber(task.step());
+            json.writeNumber(task.index());
+            json.writeNumber(task.done() ? 1 : 0);
+            json.writeNumber(task.run());
+            json.writeNumber(task.failures());
+            json.writeString(task.checkpoint());
+            json.writeString(task.assignedRunner()
+                    .map(TaskRecord.RunnerIncarnation::runnerId)
+                    .orElse(""));
+            json.writeNumber(task.assignedRunner()
+                    .map(TaskRecord.RunnerIncarnation::incarnationStartMs)
+                    .orElse(0L));
+            json.writeEndArray();
+        }
+        json.writeEndArray();
+    }
+
     /**
      * Decodes the stored progress of a job.
      *
@@ -198,11 +212,26 @@
         } catch (IllegalArgumentException e) {
             throw new JsonSyntaxException("unknown status", e);
         }
+        return new JobRecord(status, readTasks(record));
+    }
+
+    /**
+     * Decodes a further row of a job's progress.
+     *
+     * @param text the text
+     * @return the tasks of the row
+     * @throws JsonSyntaxException if the text is not the stored form of such a row
+     */
+    public static List<TaskRecord> decodeTasks(String text) throws JsonSyntaxException {
+        return readTasks(JsonObject.parse(text));
+    }
+
+    private static List<TaskRecord> readTasks(JsonObject record) throws JsonSyntaxException {
         List<TaskRecord> tasks = new ArrayList<>();
         for (Object item : record.list("tasks")) {
             tasks.add(readTask(item));
         }
-        return new JobRecord(status, tasks);
+        return tasks;
     }
 
     private static TaskRecord readTask(Object item) throws JsonSyntaxException {
--- a/core/src/main/java/org/pollensill/json/JsonText.java
+++ b/core/src/main/java/org/pollensill/json/JsonText.java
@@ -5,6 +5,7 @@
 import java.io.UncheckedIOException;
 
 import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
 
 /** Creates JSON text with the streaming generator. */
 public final class JsonText {
@@ -24,6 +25,16 @@
 
     private JsonText() {}
 
+    /**
+     * Returns the size of a text as a JSON string.
+     *
+     * @param text the text
+     * @return the number of bytes in UTF-8, without the quotes
+     */
+    public static int encodedBytes(String text) {
+        return JsonStringEncoder.getInstance().quoteAsUTF8(text).length;
+    }
+
     /**
      * Returns a JSON object as text.
      *
--- a/core/src/main/java/org/pollensill/leader/CommitChain.java
+++ b/core/src/main/java/org/pollensill/leader/CommitChain.java
@@ -31,6 +31,8 @@
         READ_ROW,
         /** The commit had no effect and cannot take effect later; a new commit may replace it. */
         WITHDRAWN,
+        /** The same, and the store rejects the content of the commit: repeating it cannot help. */
+        REJECTED,
         /** Another coordinator holds the leader lease. */
         DEPOSED
     }
@@ -41,11 +43,14 @@
     private Commit inFlight;
     private LeaderRow pendingRow;
     private boolean mayTakeEffectLater;
+    /** Sequence number of the last commit that was begun; one that was withdrawn does not pass its number on. */
+    private long lastSequence;
 
     private CommitChain(String rowKey, LeaderRow row, long rowVersion) {
         this.rowKey = rowKey;
         this.row = row;
         this.rowVersion = rowVersion;
+        this.lastSequence = row.sequence();
     }
 
     /**
@@ -83,12 +88,13 @@
         if (busy()) {
             throw new IllegalStateException("a commit is already in flight");
         }
+        lastSequence++;
         pendingRow = new LeaderRow(
                 row.leader(),
                 row.incarnation(),
                 row.peerAddress(),
                 row.fencingToken(),
-                row.sequence() + 1,
+                lastSequence,
                 released,
                 waitingJobs);
         List<Write> allWrites = new ArrayList<>(writes);
@@ -133,11 +139,11 @@
             mayTakeEffectLater = true;
             return Next.READ_ROW;
         }
-        if (mayTakeEffectLater) {
+        if (mayTakeEffectLater && effect != PlatformException.Effect.REJECTED) {
             return Next.REPEAT;
         }
         inFlight = null;
-        return Next.WITHDRAWN;
+        return effect == PlatformException.Effect.REJECTED ? Next.REJECTED : Next.WITHDRAWN;
     }
 
     /**
--- a/core/src/main/java/org/pollensill/platform/PlatformException.java
+++ b/core/src/main/java/org/pollensill/platform/PlatformException.java
@@ -14,6 +14,8 @@
     public enum Effect {
         /** The call had no effect. */
         NONE,
+        /** The call had no effect, and its content is the reason: the same call will be rejected again. */
+        REJECTED,
         /** The call may have taken effect or may do so later. */
         UNKNOWN
     }
--- a/core/src/test/java/org/pollensill/dispatch/AdviceCandidatesTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/AdviceCandidatesTest.java
@@ -39,7 +39,8 @@
 
     private static final Resources CAPACITY = new Resources(8_000, 32_000 * Samples.MB, 8);
 
-    private final JobTable jobs = new JobTable(new PendingChanges("progress/"), new CountingListener());
+    private final JobTable jobs =
+            new JobTable(new PendingChanges("progress/", new CountingListener()), new CountingListener());
     private final Fleet fleet = new Fleet(T0);
     private final AdvicePoller poller = new AdvicePoller(jobs, fleet);
     private final List<RunnerEntry> entries = new ArrayList<>();
--- a/core/src/test/java/org/pollensill/dispatch/CapacityReservationsTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/CapacityReservationsTest.java
@@ -46,7 +46,8 @@
         final RunnerSelector selector = new RunnerSelector(new InterferenceModel());
         final CountingListener listener = new CountingListener();
         final CapacityReservations reservations = new CapacityReservations(fleet, selector, listener);
-        final JobTable jobs = new JobTable(new PendingChanges("progress/"), new CountingListener());
+        final JobTable jobs =
+                new JobTable(new PendingChanges("progress/", new CountingListener()), new CountingListener());
         private int shortJobs;
 
         Rounds() {
--- a/core/src/test/java/org/pollensill/dispatch/CountingListener.java
+++ b/core/src/test/java/org/pollensill/dispatch/CountingListener.java
@@ -17,6 +17,7 @@
     int waitingOther;
     final List<WaitReport> waiting = new ArrayList<>();
     final List<TaskName> reserved = new ArrayList<>();
+    final List<String> setAside = new ArrayList<>();
 
     @Override
     public void placed(TaskName task, int run, String runner, long waitedMs) {}
@@ -42,6 +43,16 @@
         reserved.add(task);
     }
 
+    @Override
+    public void jobSetAside(String job, int rows) {
+        setAside.add(job);
+    }
+
+    @Override
+    public void jobResumed(String job) {
+        setAside.remove(job);
+    }
+
     @Override
     public void quarantined(String runner, int failures, long forMs) {}
 
--- a/core/src/test/java/org/pollensill/dispatch/OverdueTasksTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/OverdueTasksTest.java
@@ -208,13 +208,14 @@
         // An idle runner is asked every 20 s, so its last answer may be far older than the run.
         @Test
         void shouldNotCountTheWaitFromBeforeTheRun() {
-            JobTable jobs = new JobTable(new PendingChanges("progress/"), new CountingListener());
+            JobTable jobs =
+                    new JobTable(new PendingChanges("progress/", new CountingListener()), new CountingListener());
             Fleet fleet = new Fleet(0);
             fleet.update(List.of(Samples.runner("r1")));
             RunnerState runner = fleet.get("r1").orElseThrow();
             ReportHandler handler = new ReportHandler(
                     jobs,
-                    new PendingChanges("progress/"),
+                    new PendingChanges("progress/", new CountingListener()),
                     new RunnerHealth(new CountingListener()),
                     new CountingListener(),
                     new RecordedOrders());
--- a/core/src/test/java/org/pollensill/dispatch/SimulatedLeader.java
+++ b/core/src/test/java/org/pollensill/dispatch/SimulatedLeader.java
@@ -5,8 +5,8 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.pollensill.job.JobCodec;
 import org.pollensill.job.JobRequest;
+import org.pollensill.job.StoredProgress;
 import org.pollensill.job.TaskName;
 import org.pollensill.json.JsonSyntaxException;
 import org.pollensill.leader.CommitChain;
@@ -59,14 +59,12 @@
         SimulatedLeader leader = new SimulatedLeader(
                 cluster, chain, formerFencingToken == 0 ? 0 : Dispatcher.unconfirmedRenewalLimitMs());
         leader.dispatcher.setCatalogue(Samples.catalogue(2));
+        StoredProgress progress = new StoredProgress();
+        for (Row row : cluster.store.withPrefix(PROGRESS_PREFIX)) {
+            progress.add(row);
+        }
         for (JobRequest job : jobs) {
-            Optional<Row> row = cluster.store.read(PROGRESS_PREFIX + job.id());
-            leader.dispatcher.addJob(
-                    job,
-                    row.isPresent()
-                            ? Optional.of(JobCodec.decodeRecord(row.get().value()))
-                            : Optional.empty(),
-                    cluster.nowMs());
+            leader.dispatcher.addJob(job, progress.take(job.id()), cluster.nowMs());
         }
         leader.dispatcher.startOrders();
         return leader;
--- a/core/src/test/java/org/pollensill/dispatch/TakeoverPropertyTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/TakeoverPropertyTest.java
@@ -7,6 +7,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
 import org.pollensill.job.JobRequest;
+import org.pollensill.job.ProgressLayout;
+import org.pollensill.job.StepSpec;
 import org.pollensill.json.JsonSyntaxException;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -21,6 +23,7 @@
 
     private static final int RUNNERS = 4;
     private static final int JOBS = 8;
+    private static final int LARGE_JOB_TASKS = ProgressLayout.TASKS_PER_ROW + 20;
     private static final int TICK_MS = 20;
 
     /** Time without a confirmed commit after which another process may take over from one that goes on. */
@@ -34,11 +37,31 @@
     @Property(tries = 600, seed = "20261204")
     void shouldRunNoTaskTwiceAndEndEveryJob(@ForAll @LongRange(min = 0, max = 1_000_000) long seed)
             throws JsonSyntaxException {
-        SimulatedCluster cluster = new SimulatedCluster(seed, RUNNERS);
         List<JobRequest> jobs = new ArrayList<>();
         for (int i = 0; i < JOBS; i++) {
             jobs.add(Samples.job(String.format("%016x", i), Samples.step(3), Samples.after(Samples.step(2), 0)));
         }
+        play(seed, jobs);
+    }
+
+    // Guards against progress that is lost where it is divided into rows.
+    @Property(tries = 100, seed = "20261205")
+    void shouldRunNoTaskTwiceWhenTheProgressOfAJobTakesSeveralRows(
+            @ForAll @LongRange(min = 0, max = 1_000_000) long seed) throws JsonSyntaxException {
+        StepSpec wide = Samples.smallTasks(LARGE_JOB_TASKS);
+        play(
+                seed,
+                List.of(
+                        Samples.job(
+                                String.format("%016x", 0),
+                                Samples.smallTasks(3),
+                                Samples.after(wide, 0),
+                                Samples.after(wide, 1)),
+                        Samples.job(String.format("%016x", 1), Samples.step(3))));
+    }
+
+    private void play(long seed, List<JobRequest> jobs) throws JsonSyntaxException {
+        SimulatedCluster cluster = new SimulatedCluster(seed, RUNNERS);
         leaders.clear();
         leaders.add(SimulatedLeader.takeOver(cluster, "c0-", jobs));
         cluster.setLossProbability(cluster.random().nextDouble() * 0.3);
--- a/core/src/test/java/org/pollensill/dispatch/WaitExplainerTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/WaitExplainerTest.java
@@ -184,7 +184,7 @@
             fleet.update(List.of(Samples.runner("r1")));
             RunnerState runner = fleet.get("r1").orElseThrow();
             runner.fenceConfirmed = true;
-            JobTable jobs = new JobTable(new PendingChanges("progress/"), listener);
+            JobTable jobs = new JobTable(new PendingChanges("progress/", new CountingListener()), listener);
             jobs.add(
                     Samples.job(jobId(1), needing(new Resources(1_000, Samples.MB, 0), Trait.FILLS)),
                     Optional.empty(),
@@ -194,7 +194,7 @@
             TaskScheduler scheduler = new TaskScheduler(
                     jobs,
                     fleet,
-                    new PendingChanges("progress/"),
+                    new PendingChanges("progress/", new CountingListener()),
                     selector,
                     null,
                     new CapacityReservations(fleet, selector, listener),
--- a/core/src/test/java/org/pollensill/leader/CommitChainTest.java
+++ b/core/src/test/java/org/pollensill/leader/CommitChainTest.java
@@ -59,6 +59,24 @@
             assertEquals(CommitChain.Next.WITHDRAWN, chain.onFailure(Effect.NONE));
             assertFalse(chain.busy());
         }
+
+        // Guards against a commit that is repeated for ever although the store rejects its content.
+        @Test
+        void shouldGiveUpACommitThatTheStoreRejectsForItsContent() {
+            begin();
+            assertEquals(CommitChain.Next.REJECTED, chain.onFailure(Effect.REJECTED));
+            assertFalse(chain.busy());
+        }
+
+        @Test
+        void shouldNotTakeACommitThatWasGivenUpForTheNextOne() {
+            begin();
+            chain.onFailure(Effect.UNKNOWN);
+            chain.onFailure(Effect.REJECTED);
+            begin();
+            chain.onFailure(Effect.UNKNOWN);
+            assertEquals(CommitChain.Next.DEPOSED, chain.onRow(Optional.of(row(ownRow(1), 50))));
+        }
     }
 
     @Nested
