Run a job under its terms while the configuration lacks its queue

Cause, from the trace: the leader that took over while the route was missing logged the failure of the job in the millisecond of the first failed run. The terms of a job came from the configuration only; without its queue a new leader had the defaults of a new object.

Change: the terms at acceptance are stored with the job. A job of a former version without them waits for the configuration.

--- a/coordinator/src/test/java/org/pollensill/coordinator/IntakeWriterTest.java
+++ b/coordinator/src/test/java/org/pollensill/coordinator/IntakeWriterTest.java
@@ -61,7 +61,7 @@
     private static JobRequest job(String id) {
         StepSpec step = new StepSpec(
                 1, new Resources(1_000, 0, 0), 500, List.of(), Set.of(), PlacementRule.ANY, ServiceLevel.NONE);
-        return new JobRequest(id, "queue", "service", "", List.of(step), JobSchedule.AT_ONCE, 0);
+        return new JobRequest(id, "queue", "service", "", List.of(step), JobSchedule.AT_ONCE, 0, Optional.empty());
     }
 
     private void advance(long toMs) {
@@ -190,7 +190,8 @@
                     "\u00e4".repeat((int) MAX_ROW_BYTES / 2),
                     List.of(step),
                     JobSchedule.AT_ONCE,
-                    0);
+                    0,
+                    Optional.empty());
             assertEquals(Optional.of(IntakeWriter.Outcome.REJECTED), outcome(writer.store(large, DEADLINE_MS)));
             assertTrue(sent.isEmpty());
         }
--- a/core/src/main/java/org/pollensill/dispatch/AdvicePoller.java
+++ b/core/src/main/java/org/pollensill/dispatch/AdvicePoller.java
@@ -73,7 +73,7 @@
             if (!runners.isEmpty()) {
                 inFlight = true;
                 overdueFirst = !CapacityReservations.hasOverdueTask(step, nowMs);
-                AdviceTiming adviceTiming = step.job.advice.get();
+                AdviceTiming adviceTiming = step.job.advice().get();
                 return Optional.of(new AdviceRequest(
                         step, runners, adviceTiming.callMs(runners.size()) + TIMEOUT_MARGIN_MS, nowMs));
             }
--- a/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
@@ -329,6 +329,9 @@
             return;
         }
         jobs.makeDueStepsReady(wallMs, nowMs);
+        for (JobState job : jobs.takeExhausted()) {
+            reportHandler.fail(job, nowMs);
+        }
         maintenance.tick(nowMs, mayRenew);
         waitExplainer.tick(nowMs);
     }
--- a/core/src/main/java/org/pollensill/dispatch/JobState.java
+++ b/core/src/main/java/org/pollensill/dispatch/JobState.java
@@ -9,8 +9,10 @@
 import org.pollensill.job.JobRecord;
 import org.pollensill.job.JobRequest;
 import org.pollensill.job.JobStatus;
+import org.pollensill.job.JobTerms;
 import org.pollensill.job.ProgressLayout;
 import org.pollensill.job.TaskRecord;
+import org.pollensill.job.Trait;
 import org.pollensill.queue.AdviceTiming;
 
 /** In-memory state of a job. */
@@ -23,12 +25,13 @@
     /** Steps of all occurrences; those of occurrence k begin at k times the number of steps. */
     final List<StepState> steps = new ArrayList<>();
 
-    int priority;
-    int attempts = 1;
-    String service;
-    /** Terms of advice requests, empty where any runner may run the tasks. */
-    Optional<AdviceTiming> advice = Optional.empty();
+    /**
+     * The terms under which the job runs: those of its queue, or the last ones known where the configuration lacks it.
+     * Empty until they are known; nothing is started and no failure is final before.
+     */
+    Optional<JobTerms> terms;
 
+    String service;
     long addedAtMs;
     long objectiveMs;
     /** The decided state, which may not be durable yet. */
@@ -53,6 +56,7 @@
     JobState(JobRequest request, long nowMs) {
         this.request = request;
         this.service = request.service();
+        this.terms = request.terms();
         this.addedAtMs = nowMs;
         for (int k = 0; k < request.schedule().occurrenceCount(); k++) {
             for (int i = 0; i < request.steps().size(); i++) {
@@ -98,6 +102,37 @@
         return recordedStatus == JobStatus.QUEUED ? JobStatus.RUNNING : recordedStatus;
     }
 
+    int priority() {
+        return terms.map(JobTerms::priority).orElse(Integer.MAX_VALUE);
+    }
+
+    /** Returns the timing of advice requests, empty where any runner may run the tasks. */
+    Optional<AdviceTiming> advice() {
+        return terms.flatMap(JobTerms::advice);
+    }
+
+    /** Returns whether tasks of the job may be placed. */
+    boolean placeable() {
+        return terms.isPresent() && !setAside;
+    }
+
+    /** Returns whether a task has failed as often as the terms allow. */
+    boolean exhausted(TaskState task) {
+        return terms.isPresent()
+                && !task.step.spec.hasTrait(Trait.RESTART_ALWAYS)
+                && task.failures >= terms.get().attempts();
+    }
+
+    /** Returns whether any task has failed as often as the terms allow. */
+    boolean exhausted() {
+        for (TaskState task : tasks) {
+            if (exhausted(task)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     long deadlineMs() {
         return addedAtMs + objectiveMs;
     }
--- a/core/src/main/java/org/pollensill/dispatch/JobTable.java
+++ b/core/src/main/java/org/pollensill/dispatch/JobTable.java
@@ -14,6 +14,7 @@
 import org.pollensill.job.JobRecord;
 import org.pollensill.job.JobRequest;
 import org.pollensill.job.JobStatus;
+import org.pollensill.job.JobTerms;
 import org.pollensill.job.TaskName;
 import org.pollensill.job.TaskRecord;
 import org.pollensill.job.Trait;
@@ -23,11 +24,11 @@
 /** The accepted jobs, their ready steps, and the rules by which jobs reach a final state. */
 final class JobTable {
 
-    /** Minimum objective of a job whose queue is no longer configured. */
+    /** Objective of a job whose terms are not known yet. */
     private static final long DEFAULT_OBJECTIVE_MS = 10_000;
 
     private static final Comparator<RankedStep> BY_URGENCY = Comparator.<RankedStep>comparingInt(RankedStep::lateness)
-            .thenComparingInt(ranked -> ranked.step().job.priority)
+            .thenComparingInt(ranked -> ranked.step().job.priority())
             .thenComparing(ranked -> !ranked.step().runsToCompletion())
             .thenComparingDouble(RankedStep::heldFraction)
             .thenComparingLong(ranked -> ranked.step().job.deadlineMs());
@@ -52,6 +53,7 @@
     private final Map<String, JobState> jobs = new LinkedHashMap<>();
     private final Set<StepState> ready = new LinkedHashSet<>();
     private final Set<StepState> scheduled = new LinkedHashSet<>();
+    private final List<JobState> exhausted = new ArrayList<>();
     private final PendingChanges pendingChanges;
     private final DispatchListener listener;
     private final PlacementCounts placementCounts = new PlacementCounts();
@@ -90,24 +92,40 @@
     void setCatalogue(QueueCatalogue newCatalogue) {
         catalogue = newCatalogue;
         for (JobState job : jobs.values()) {
-            if (!job.status.isFinal()) {
-                applyPolicy(job);
+            if (job.status.isFinal()) {
+                continue;
+            }
+            boolean termsUnknown = job.terms.isEmpty();
+            applyPolicy(job);
+            if (termsUnknown && job.exhausted()) {
+                exhausted.add(job);
             }
         }
     }
 
+    /** Takes the jobs that had failed for the last time before their terms were known. */
+    List<JobState> takeExhausted() {
+        List<JobState> taken = new ArrayList<>(exhausted);
+        exhausted.clear();
+        return taken;
+    }
+
     private void applyPolicy(JobState job) {
         Optional<QueuePolicy> found = catalogue.named(job.request.queue());
         if (found.isEmpty()) {
-            job.objectiveMs = Math.max(job.objectiveMs, DEFAULT_OBJECTIVE_MS);
+            // The job goes on under the terms that it has.
+            setObjective(job);
             return;
         }
-        QueuePolicy queue = found.get();
-        job.priority = queue.priority();
-        job.attempts = Math.max(1, queue.attempts());
-        job.service = queue.service();
-        job.advice = queue.advice();
-        job.objectiveMs = (long) (queue.stretch() * job.request.criticalPathMs()) + queue.targetLatencyMs();
+        job.terms = Optional.of(JobTerms.of(found.get()));
+        job.service = found.get().service();
+        setObjective(job);
+    }
+
+    private static void setObjective(JobState job) {
+        job.objectiveMs = job.terms
+                .map(terms -> terms.objectiveMs(job.request.criticalPathMs()))
+                .orElse(DEFAULT_OBJECTIVE_MS);
     }
 
     /** Adds a job; has no effect if the job exists. */
@@ -250,7 +268,7 @@
                 ready.remove(step);
                 continue;
             }
-            if (!step.job.setAside && step.hasPlaceableTask(nowMs)) {
+            if (step.job.placeable() && step.hasPlaceableTask(nowMs)) {
                 ranked.add(RankedStep.of(step, nowMs));
             }
         }
@@ -270,14 +288,14 @@
         List<StepState> overdue = new ArrayList<>();
         List<StepState> others = new ArrayList<>();
         for (StepState step : readySteps(nowMs)) {
-            if (step.job.advice.isPresent()) {
+            if (step.job.advice().isPresent()) {
                 (CapacityReservations.hasOverdueTask(step, nowMs) ? overdue : others).add(step);
             }
         }
         List<StepState> steps = new ArrayList<>(overdueFirst ? overdue : others);
         steps.addAll(overdueFirst ? others : overdue);
         for (StepState step : scheduled) {
-            if (step.job.advice.isPresent() && !step.job.status.isFinal()) {
+            if (step.job.advice().isPresent() && !step.job.status.isFinal()) {
                 steps.add(step);
             }
         }
--- a/core/src/main/java/org/pollensill/dispatch/Preemptor.java
+++ b/core/src/main/java/org/pollensill/dispatch/Preemptor.java
@@ -95,7 +95,8 @@
         if (nowMs < task.preemptibleFromMs || task.step.spec.hasTrait(Trait.GANG)) {
             return false;
         }
-        if (task.step.job.status.isFinal() || task.step.job.priority < waiting.step.job.priority) {
+        JobState job = task.step.job;
+        if (job.status.isFinal() || job.terms.isEmpty() || job.priority() < waiting.step.job.priority()) {
             return false;
         }
         return task.step.toleratesEviction(MAX_UNAVAILABLE_FRACTION);
--- a/core/src/main/java/org/pollensill/dispatch/ReportHandler.java
+++ b/core/src/main/java/org/pollensill/dispatch/ReportHandler.java
@@ -160,15 +160,23 @@
             health.onFailure(runner, job.request.id(), nowMs);
             task.failures++;
             releaseLost(task, Cause.FAILED, nowMs, DispatchTiming.FAILED_RUN_RETRY_DELAY_MS);
-            if (!longRunning && task.failures >= job.attempts) {
-                jobs.finish(job, JobStatus.FAILED, nowMs);
-                stopAll(job, nowMs);
+            if (job.exhausted(task)) {
+                fail(job, nowMs);
             }
             return;
         }
         releaseLost(task, Cause.ENDED_EARLY, nowMs, 0);
     }
 
+    /** Ends a job as failed, unless it has ended otherwise. */
+    void fail(JobState job, long nowMs) {
+        if (job.status.isFinal()) {
+            return;
+        }
+        jobs.finish(job, JobStatus.FAILED, nowMs);
+        stopAll(job, nowMs);
+    }
+
     private void completeTask(TaskState task, long nowMs) {
         if (!task.step.spec.hasTrait(Trait.GANG)) {
             jobs.markTaskDone(task, nowMs);
--- a/core/src/main/java/org/pollensill/dispatch/RunnerSelector.java
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerSelector.java
@@ -142,7 +142,7 @@
         if (!matches(task.step, runner)) {
             return PlacementObstacle.NO_MATCH.found();
         }
-        if (task.step.job.advice.isPresent()
+        if (task.step.job.advice().isPresent()
                 && task.step.tickets.forRunner(runner, nowMs).isEmpty()) {
             return PlacementObstacle.NO_TICKET.found();
         }
--- a/core/src/main/java/org/pollensill/job/JobCodec.java
+++ b/core/src/main/java/org/pollensill/job/JobCodec.java
@@ -11,6 +11,7 @@
 import org.pollensill.json.JsonObject;
 import org.pollensill.json.JsonSyntaxException;
 import org.pollensill.json.JsonText;
+import org.pollensill.queue.AdviceTiming;
 import org.pollensill.worker.Resources;
 
 /** Encodes and decodes the stored form of jobs and of their progress. */
@@ -38,6 +39,9 @@
                 json.writeNumberField("intervalMs", job.schedule().intervalMs());
                 json.writeNumberField("occurrences", job.schedule().occurrences());
             }
+            if (job.terms().isPresent()) {
+                writeTerms(json, job.terms().get());
+            }
             json.writeArrayFieldStart("steps");
             for (StepSpec step : job.steps()) {
                 writeStep(json, step);
@@ -46,6 +50,45 @@
         });
     }
 
+    private static void writeTerms(JsonGenerator json, JobTerms terms) throws IOException {
+        json.writeObjectFieldStart("terms");
+        json.writeNumberField("priority", terms.priority());
+        json.writeNumberField("attempts", terms.attempts());
+        json.writeNumberField("stretch", terms.stretch());
+        json.writeNumberField("targetLatencyMs", terms.targetLatencyMs());
+        if (terms.advice().isPresent()) {
+            AdviceTiming advice = terms.advice().get();
+            json.writeNumberField("adviceDecisionMs", advice.decisionMs());
+            json.writeNumberField("advicePerRunnerMs", advice.perRunnerMs());
+            json.writeNumberField("adviceValidMs", advice.validMs());
+        }
+        json.writeEndObject();
+    }
+
+    private static Optional<JobTerms> readTerms(JsonObject job) throws JsonSyntaxException {
+        Optional<JsonObject> found = job.object("terms");
+        if (found.isEmpty()) {
+            return Optional.empty();
+        }
+        JsonObject terms = found.get();
+        Optional<AdviceTiming> advice = Optional.empty();
+        if (terms.members().containsKey("adviceValidMs")) {
+            advice = Optional.of(new AdviceTiming(
+                    longOrZero(terms, "adviceDecisionMs"),
+                    longOrZero(terms, "advicePerRunnerMs"),
+                    longOrZero(terms, "adviceValidMs")));
+        }
+        return Optional.of(new JobTerms(
+                (int) longOrZero(terms, "priority"),
+                (int) terms.integer("attempts")
+                        .filter(attempts -> attempts >= 1 && attempts <= Integer.MAX_VALUE)
+                        .orElseThrow(() -> new JsonSyntaxException("terms without a number of attempts"))
+                        .longValue(),
+                terms.number("stretch").orElse(1.0),
+                longOrZero(terms, "targetLatencyMs"),
+                advice));
+    }
+
     private static void writeStep(JsonGenerator json, StepSpec step) throws IOException {
         json.writeStartObject();
         json.writeNumberField("count", step.count());
@@ -111,7 +154,8 @@
                 requiredString(job, "payload"),
                 steps,
                 schedule,
-                longOrZero(job, "acceptedAtMs"));
+                longOrZero(job, "acceptedAtMs"),
+                readTerms(job));
     }
 
     private static StepSpec readStep(JsonObject step) throws JsonSyntaxException {
--- a/core/src/main/java/org/pollensill/job/JobRequest.java
+++ b/core/src/main/java/org/pollensill/job/JobRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * A job as submitted by a client.
@@ -13,6 +14,7 @@
  * @param steps the steps
  * @param schedule due times of the occurrences
  * @param acceptedAtMs Unix time of the acceptance
+ * @param terms the terms of the queue on acceptance, empty for a job that a former version has stored
  */
 public record JobRequest(
         String id,
@@ -21,7 +23,8 @@
         String payload,
         List<StepSpec> steps,
         JobSchedule schedule,
-        long acceptedAtMs) {
+        long acceptedAtMs,
+        Optional<JobTerms> terms) {
 
     /**
      * Creates a job.
@@ -35,6 +38,7 @@
         Objects.requireNonNull(payload, "payload is null");
         steps = List.copyOf(Objects.requireNonNull(steps, "steps is null"));
         Objects.requireNonNull(schedule, "schedule is null");
+        Objects.requireNonNull(terms, "terms is null");
     }
 
     /**
--- a/core/src/test/java/org/pollensill/dispatch/LongRunningWaitPropertyTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/LongRunningWaitPropertyTest.java
@@ -155,7 +155,14 @@
     private void submit(FleetSimulation simulation, String queue, StepSpec step) {
         jobCount++;
         simulation.submit(new JobRequest(
-                "%016x".formatted(jobCount), queue, "pad-desk", "payload", List.of(step), JobSchedule.AT_ONCE, 0));
+                "%016x".formatted(jobCount),
+                queue,
+                "pad-desk",
+                "payload",
+                List.of(step),
+                JobSchedule.AT_ONCE,
+                0,
+                Optional.empty()));
     }
 
     private static StepSpec step(int count, Resources need, long estimateMs, Set<Trait> traits, int maxPerRunner) {
--- a/core/src/test/java/org/pollensill/dispatch/PlacementObstacleTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/PlacementObstacleTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.pollensill.job.JobTerms;
 import org.pollensill.job.PlacementRule;
 import org.pollensill.job.ServiceLevel;
 import org.pollensill.job.StepSpec;
@@ -127,7 +128,7 @@
         @Test
         void shouldNameAMissingTicket() {
             TaskState task = task(Samples.step(1));
-            task.step.job.advice = Optional.of(new AdviceTiming(1, 1, 1_000));
+            task.step.job.terms = Optional.of(new JobTerms(0, 1, 1, 0, Optional.of(new AdviceTiming(1, 1, 1_000))));
             assertObstacle(PlacementObstacle.NO_TICKET, task);
         }
 
--- a/core/src/test/java/org/pollensill/dispatch/Samples.java
+++ b/core/src/test/java/org/pollensill/dispatch/Samples.java
@@ -80,7 +80,8 @@
     }
 
     static JobRequest job(String id, StepSpec... steps) {
-        return new JobRequest(id, "matches", "pad-desk", "payload", List.of(steps), JobSchedule.AT_ONCE, 0);
+        return new JobRequest(
+                id, "matches", "pad-desk", "payload", List.of(steps), JobSchedule.AT_ONCE, 0, Optional.empty());
     }
 
     static QueueCatalogue catalogue(int attempts) {
--- a/core/src/test/java/org/pollensill/job/JobCodecTest.java
+++ b/core/src/test/java/org/pollensill/job/JobCodecTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.pollensill.json.JsonSyntaxException;
+import org.pollensill.queue.AdviceTiming;
 import org.pollensill.worker.Resources;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -34,7 +35,8 @@
                 "text with \"quotes\" and \n lines",
                 List.of(first, second),
                 new JobSchedule(1_000, 500, 3),
-                77);
+                77,
+                Optional.of(new JobTerms(2, 4, 1.5, 400, Optional.of(new AdviceTiming(10, 2, 3_000)))));
         assertEquals(job, JobCodec.decode(JobCodec.encode(job)));
     }
 
