Store the cancellation of a job that is not there

Cause, from the trace: the store carried out the submission 6 s after it got it, 3.1 s after the 410. The cancellation had read the rows, found none and written nothing, and the leader drops cancellations of jobs that it does not have.

Change: the cancellation is stored on the condition that the job is absent; the leader remembers it, and cancels the job if it comes. The row is deleted after the retention time of ended jobs.

--- a/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
@@ -101,7 +101,8 @@
         IntakeWriter intakeWriter =
                 new IntakeWriter(loop::nowMs, loop::schedule, store, health, incarnation, settings.maxRowBytes());
         JobStateReader stateReader = new JobStateReader(store, health);
-        this.endpoint = new JobEndpoint(context, configWatcher, elector, peers, intakeWriter, stateReader);
+        JobCanceller canceller = new JobCanceller(loop::nowMs, loop::schedule, store, health, stateReader);
+        this.endpoint = new JobEndpoint(context, configWatcher, elector, peers, intakeWriter, stateReader, canceller);
     }
 
     private void applyCatalogue(QueueCatalogue catalogue) {
--- a/coordinator/src/main/java/org/pollensill/coordinator/JobEndpoint.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/JobEndpoint.java
@@ -1,7 +1,6 @@
 package org.pollensill.coordinator;
 
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.regex.Pattern;
 
 import org.pollensill.adapter.ClientCodec;
@@ -9,10 +8,6 @@
 import org.pollensill.job.JobStatus;
 import org.pollensill.json.JsonSyntaxException;
 import org.pollensill.leader.LeaderRow;
-import org.pollensill.platform.Commit;
-import org.pollensill.platform.PlatformException;
-import org.pollensill.platform.RowStore;
-import org.pollensill.platform.Write;
 import org.pollensill.queue.QueuePolicy;
 import org.pollensill.runtime.event.EventLog;
 import org.pollensill.runtime.http.Answer;
@@ -36,13 +31,13 @@
     private static final int RETRY_AFTER_S = 1;
 
     private final CoordinatorLoop loop;
-    private final RowStore store;
     private final StoreHealth health;
     private final ConfigWatcher config;
     private final LeaderElector elector;
     private final Peers peers;
     private final IntakeWriter intakeWriter;
     private final JobStateReader stateReader;
+    private final JobCanceller canceller;
     private final CoordinatorMetrics metrics;
 
     JobEndpoint(
@@ -51,15 +46,16 @@
             LeaderElector elector,
             Peers peers,
             IntakeWriter intakeWriter,
-            JobStateReader stateReader) {
+            JobStateReader stateReader,
+            JobCanceller canceller) {
         this.loop = context.loop();
-        this.store = context.store();
         this.health = context.health();
         this.config = config;
         this.elector = elector;
         this.peers = peers;
         this.intakeWriter = intakeWriter;
         this.stateReader = stateReader;
+        this.canceller = canceller;
         this.metrics = context.metrics();
     }
 
@@ -94,7 +90,7 @@
                 queryState(id, responder, deadlineMs);
                 return;
             case "DELETE":
-                cancel(id, responder, deadlineMs, false);
+                cancel(id, responder, deadlineMs);
                 return;
             default:
                 responder.answer(Answer.of(405));
@@ -198,32 +194,21 @@
         });
     }
 
-    private void cancel(String id, Responder responder, long deadlineMs, boolean mayBeWritten) {
-        stateReader
-                .read(id)
-                .thenCompose(status -> status.isEmpty() || status.get().isFinal()
-                        ? CompletableFuture.completedFuture(status)
-                        : writeCancel(id).thenApply(done -> status))
-                .whenComplete((status, failure) -> {
-                    if (failure == null) {
-                        LOG.log(CoordinatorEvent.JOB_CANCELLED, "job", id, "known", status.isPresent());
-                        answer("cancel", responder, Answer.of(status.isPresent() ? 200 : 410));
-                        return;
-                    }
-                    boolean uncertain =
-                            mayBeWritten || PlatformException.effectOf(failure) == PlatformException.Effect.UNKNOWN;
-                    if (loop.nowMs() + RETRY_DELAY_MS < deadlineMs) {
-                        loop.schedule(RETRY_DELAY_MS, () -> cancel(id, responder, deadlineMs, uncertain));
-                        return;
-                    }
-                    LOG.log(CoordinatorEvent.JOB_QUERY_FAILED, "job", id, "problem", failure.getMessage());
-                    answer("cancel", responder, uncertain ? Answer.of(504) : serviceUnavailable());
-                });
-    }
-
-    private CompletableFuture<?> writeCancel(String id) {
-        Commit commit = new Commit(
-                "cancel-" + id, java.util.List.of(), java.util.List.of(Write.put(Tables.cancelKey(id), "{}")));
-        return health.track(store.commit(commit));
+    private void cancel(String id, Responder responder, long deadlineMs) {
+        canceller.cancel(id, deadlineMs).thenAccept(outcome -> {
+            switch (outcome) {
+                case CANCELLED:
+                    answer("cancel", responder, Answer.of(200));
+                    return;
+                case UNKNOWN_JOB:
+                    answer("cancel", responder, Answer.of(410));
+                    return;
+                case NOT_STORED:
+                    answer("cancel", responder, serviceUnavailable());
+                    return;
+                default:
+                    answer("cancel", responder, Answer.of(504));
+            }
+        });
     }
 }
--- a/coordinator/src/main/java/org/pollensill/coordinator/JobExpiry.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/JobExpiry.java
@@ -15,13 +15,15 @@
 
 import org.pollensill.platform.Commit;
 import org.pollensill.platform.CommitOutcome;
+import org.pollensill.platform.Condition;
 import org.pollensill.platform.Write;
 import org.pollensill.runtime.event.EventLog;
 
 /**
  * Deletes the stored rows of ended jobs after their retention time. A job's rows in the intake table are deleted first,
  * and its progress once the store has confirmed that; otherwise a leader could find a job without progress and run it
- * again.
+ * again. The cancellation of a job that has not come is deleted after the same time, which is far longer than the store
+ * may delay a submission.
  */
 final class JobExpiry {
 
@@ -44,6 +46,12 @@
 
         /** Removes a job from memory. */
         void remove(String id);
+
+        /** Returns the ids of jobs that have not come and whose cancellation became known before a time. */
+        List<String> cancelledEarlyBefore(long timeMs);
+
+        /** Removes the cancellation of a job that has not come from memory. */
+        void removeEarlyCancellation(String id);
     }
 
     private final Function<Commit, CompletableFuture<CommitOutcome>> store;
@@ -93,6 +101,32 @@
                 delete(id);
             }
         }
+        for (String id : jobs.cancelledEarlyBefore(nowMs - retentionMs)) {
+            if (deleting.size() >= MAX_CONCURRENT_DELETIONS) {
+                return;
+            }
+            if (deleting.add(id)) {
+                deleteEarlyCancellation(id);
+            }
+        }
+    }
+
+    /** Deletes the cancellation of a job that has not come, on the condition that it still has not. */
+    private void deleteEarlyCancellation(String id) {
+        Commit commit = new Commit(
+                "expired-" + id,
+                List.of(Condition.absent(Tables.jobKey(id))),
+                List.of(Write.delete(Tables.cancelKey(id))));
+        store.apply(commit).whenComplete((outcome, failure) -> {
+            deleting.remove(id);
+            if (failure != null) {
+                LOG.log(CoordinatorEvent.EXPIRY_FAILED, "job", id, "problem", failure.getMessage());
+                return;
+            }
+            if (outcome instanceof CommitOutcome.Committed) {
+                jobs.removeEarlyCancellation(id);
+            }
+        });
     }
 
     private void delete(String id) {
--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
@@ -384,5 +384,15 @@
         public void remove(String id) {
             dispatcher.removeJob(id);
         }
+
+        @Override
+        public List<String> cancelledEarlyBefore(long timeMs) {
+            return dispatcher.cancelledEarlyBefore(timeMs);
+        }
+
+        @Override
+        public void removeEarlyCancellation(String id) {
+            dispatcher.removeEarlyCancellation(id);
+        }
     }
 }
--- a/coordinator/src/test/java/org/pollensill/coordinator/JobExpiryTest.java
+++ b/coordinator/src/test/java/org/pollensill/coordinator/JobExpiryTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.pollensill.platform.Commit;
 import org.pollensill.platform.CommitOutcome;
+import org.pollensill.platform.Condition;
 import org.pollensill.platform.PlatformException;
 import org.pollensill.platform.Write;
 
@@ -23,6 +24,7 @@
     private final List<Commit> sent = new ArrayList<>();
     private final List<CompletableFuture<CommitOutcome>> answers = new ArrayList<>();
     private final List<String> removed = new ArrayList<>();
+    private final List<String> cancelledEarly = new ArrayList<>();
     private final JobExpiry expiry = new JobExpiry(
             commit -> {
                 sent.add(commit);
@@ -40,6 +42,16 @@
                 public void remove(String id) {
                     removed.add(id);
                 }
+
+                @Override
+                public List<String> cancelledEarlyBefore(long timeMs) {
+                    return timeMs >= 0 ? List.copyOf(cancelledEarly) : List.of();
+                }
+
+                @Override
+                public void removeEarlyCancellation(String id) {
+                    cancelledEarly.remove(id);
+                }
             },
             RETENTION_MS);
 
@@ -100,6 +112,25 @@
         }
     }
 
+    @Nested
+    class EarlyCancellations {
+
+        @Test
+        void shouldDeleteACancellationOnlyWhileItsJobIsAbsent() {
+            removed.add(JOB);
+            cancelledEarly.add("bbbbbbbbbbbbbbbb");
+            expiry.run(RETENTION_MS);
+            assertEquals(
+                    List.of(Condition.absent(Tables.jobKey("bbbbbbbbbbbbbbbb"))),
+                    sent.get(0).conditions());
+            answers.get(0).complete(new CommitOutcome.Conflicted(Map.of(Tables.jobKey("bbbbbbbbbbbbbbbb"), 7L)));
+            assertEquals(List.of("bbbbbbbbbbbbbbbb"), cancelledEarly);
+            expiry.run(RETENTION_MS);
+            confirm(1);
+            assertTrue(cancelledEarly.isEmpty());
+        }
+    }
+
     @Nested
     class Orphans {
 
--- a/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
@@ -36,6 +36,7 @@
     private final AnswerHandler answers;
     private final AdvicePoller advicePoller;
     private final WaitExplainer waitExplainer;
+    private final EarlyCancellations earlyCancellations = new EarlyCancellations();
     private boolean active;
 
     private Dispatcher(
@@ -150,17 +151,24 @@
      */
     public void addJob(JobRequest request, Optional<JobRecord> record, long nowMs) {
         jobs.add(request, record, fleet, nowMs);
+        if (earlyCancellations.take(request.id())) {
+            cancel(request.id(), nowMs);
+        }
     }
 
     /**
-     * Cancels a job, unless it has ended.
+     * Cancels a job, unless it has ended. One that has not come yet is cancelled when it comes.
      *
      * @param id the job
      * @param nowMs the time
      */
     public void cancel(String id, long nowMs) {
         Optional<JobState> job = jobs.get(id);
-        if (job.isEmpty() || job.get().status.isFinal()) {
+        if (job.isEmpty()) {
+            earlyCancellations.add(id, nowMs);
+            return;
+        }
+        if (job.get().status.isFinal()) {
             return;
         }
         jobs.finish(job.get(), JobStatus.CANCELLED, nowMs);
@@ -404,6 +412,25 @@
         return ended;
     }
 
+    /**
+     * Returns the jobs that have not come and whose cancellation became known before a time.
+     *
+     * @param timeMs the time
+     * @return their identities
+     */
+    public List<String> cancelledEarlyBefore(long timeMs) {
+        return earlyCancellations.before(timeMs);
+    }
+
+    /**
+     * Forgets the cancellation of a job that has not come.
+     *
+     * @param id the job
+     */
+    public void removeEarlyCancellation(String id) {
+        earlyCancellations.take(id);
+    }
+
     /**
      * Removes a job whose final state is durable.
      *
