Give each sequence of CancellationPropertyTest a state of its own

jqwik uses one instance for all tries of a property, so sequences shared their rows and the reported sample was not the whole cause.

--- a/core/src/test/java/org/pollensill/dispatch/CancellationPropertyTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/CancellationPropertyTest.java
@@ -7,6 +7,9 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.Size;
 import org.pollensill.job.JobStatus;
+import org.pollensill.runner.OrderOutcome;
+import org.pollensill.runner.RenewalAnswer;
+import org.pollensill.runner.RunnerReport;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -25,68 +28,72 @@
         TIME_PASSES
     }
 
-    private final RecordedOrders orders = new RecordedOrders();
-    private boolean jobStored;
-    private boolean cancellationStored;
-    private long fencingToken;
-    private long nowMs = 100_000;
-    private Dispatcher dispatcher;
+    /** The rows in the store, and the leader of the moment. */
+    private static final class Play {
 
-    private void takeOver() {
-        dispatcher = Dispatcher.takeOver(++fencingToken, nowMs, 0, "", orders, new CountingListener());
-        dispatcher.setCatalogue(Samples.catalogue(2));
-        deliverRows();
-        dispatcher.startOrders();
-        dispatcher.updateRunners(List.of(Samples.runner("r1")));
-    }
+        private final RecordedOrders orders = new RecordedOrders();
+        private boolean jobStored;
+        private boolean cancellationStored;
+        private long fencingToken;
+        private long nowMs = 100_000;
+        private Dispatcher dispatcher;
 
-    private void deliverRows() {
-        if (cancellationStored) {
-            dispatcher.cancel(JOB, nowMs);
+        private void takeOver() {
+            dispatcher = Dispatcher.takeOver(++fencingToken, nowMs, 0, "", orders, new CountingListener());
+            dispatcher.setCatalogue(Samples.catalogue(2));
+            deliverRows();
+            dispatcher.startOrders();
+            dispatcher.updateRunners(List.of(Samples.runner("r1")));
         }
-        if (jobStored) {
-            dispatcher.addJob(Samples.job(JOB, Samples.step(1)), Optional.empty(), nowMs);
+
+        private void deliverRows() {
+            if (cancellationStored) {
+                dispatcher.cancel(JOB, nowMs);
+            }
+            if (jobStored) {
+                dispatcher.addJob(Samples.job(JOB, Samples.step(1)), Optional.empty(), nowMs);
+            }
         }
-    }
 
-    /** Plays a round of the leader; returns whether it placed a task. */
-    private boolean placed() {
-        nowMs += 50;
-        dispatcher.tick(nowMs, nowMs, true);
-        orders.renewals.forEach(renewal -> dispatcher.onRenewal(
-                "r1",
-                renewal.sequence(),
-                new org.pollensill.runner.RenewalAnswer(
-                        org.pollensill.runner.OrderOutcome.ACCEPTED,
-                        Optional.of(new org.pollensill.runner.RunnerReport(nowMs, 1, List.of(), List.of()))),
-                nowMs));
-        orders.renewals.clear();
-        Optional<Batch> batch = dispatcher.plan(nowMs);
-        boolean placed = batch.isPresent() && !batch.get().placements().isEmpty();
-        batch.ifPresent(found -> dispatcher.committed(found, nowMs));
-        return placed;
+        /** Plays a round of the leader; returns whether it placed a task. */
+        private boolean placed() {
+            nowMs += 50;
+            dispatcher.tick(nowMs, nowMs, true);
+            orders.renewals.forEach(renewal -> dispatcher.onRenewal(
+                    "r1",
+                    renewal.sequence(),
+                    new RenewalAnswer(
+                            OrderOutcome.ACCEPTED, Optional.of(new RunnerReport(nowMs, 1, List.of(), List.of()))),
+                    nowMs));
+            orders.renewals.clear();
+            Optional<Batch> batch = dispatcher.plan(nowMs);
+            boolean placed = batch.isPresent() && !batch.get().placements().isEmpty();
+            batch.ifPresent(found -> dispatcher.committed(found, nowMs));
+            return placed;
+        }
     }
 
     // Guards against a start after the cancelling was acknowledged, whichever of the two rows comes first.
     @Property(tries = 500, seed = "355")
     void shouldNotPlaceATaskOnceTheCancellationIsStored(@ForAll @Size(min = 2, max = 12) List<Happening> happenings) {
-        takeOver();
+        Play play = new Play();
+        play.takeOver();
         for (Happening happening : happenings) {
             switch (happening) {
-                case JOB_STORED -> jobStored = true;
-                case CANCELLATION_STORED -> cancellationStored = true;
-                case TAKEOVER -> takeOver();
-                default -> nowMs += 10;
+                case JOB_STORED -> play.jobStored = true;
+                case CANCELLATION_STORED -> play.cancellationStored = true;
+                case TAKEOVER -> play.takeOver();
+                default -> play.nowMs += 10;
             }
             if (happening != Happening.TIME_PASSES) {
-                deliverRows();
+                play.deliverRows();
             }
-            boolean placed = placed();
-            assertTrue(!placed || !cancellationStored, () -> "placed after the cancellation: " + happenings);
+            boolean placed = play.placed();
+            assertTrue(!placed || !play.cancellationStored, () -> "placed after the cancellation: " + happenings);
         }
-        if (jobStored && cancellationStored) {
-            deliverRows();
-            assertEquals(Optional.of(JobStatus.CANCELLED), dispatcher.status(JOB));
+        if (play.jobStored && play.cancellationStored) {
+            play.deliverRows();
+            assertEquals(Optional.of(JobStatus.CANCELLED), play.dispatcher.status(JOB));
         }
     }
 }
