Use a runner only by the entry of the life that has reported

Cause, from the trace: the first report of the new life came before the next read of the list and made the runner usable, with the entry of its former life. Starts that waited or were repeated went to any life, too.

Change: the entry must be that of the life that has reported; a start goes to no other life than the one it was placed for; the list is read early while an entry is awaited; a runner whose address answers for another one takes nothing until it answers itself.

Before: RestartedRunnerPropertyTest fails on the former code with [RESTART_AS_OTHER, REPORT, NEW_JOB].

--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
@@ -35,6 +35,9 @@
     /** Interval between two reads of the runners' rows; they change with every heartbeat, so polling is cheaper. */
     private static final long RUNNER_READ_INTERVAL_MS = 600;
 
+    /** Minimum interval between two reads of the runners' rows while the entry of a restarted runner is awaited. */
+    private static final long MIN_RUNNER_READ_INTERVAL_MS = 200;
+
     /** Interval between two renewals of the leader lease while there is nothing to commit. */
     private static final long LEASE_RENEWAL_INTERVAL_MS = 700;
 
@@ -61,6 +64,10 @@
     private final JobExpiry expiry;
     private String storedEstimates = "";
     private long estimatesCheckedAtMs;
+    /** Cancels the next read of the runners' rows, empty while one is in flight. */
+    private Optional<Runnable> cancelRunnerRead = Optional.empty();
+
+    private long runnerReadMs;
     private boolean jobsLoaded;
     private boolean runnersLoaded;
     private boolean stopped;
@@ -240,12 +247,23 @@
     }
 
     private void loadRunners() {
+        runnerReadMs = loop.nowMs();
+        cancelRunnerRead = Optional.empty();
         reader.read(RunnerEntryCodec.TABLE).thenAccept(snapshot -> {
-            loop.schedule(RUNNER_READ_INTERVAL_MS, this::loadRunners);
+            cancelRunnerRead = Optional.of(loop.schedule(RUNNER_READ_INTERVAL_MS, this::loadRunners));
             loop.execute(() -> onRunnerRows(snapshot.rows()));
         });
     }
 
+    /** Reads the runners' rows before their next turn, unless a read is in flight. */
+    private void readRunnersEarly() {
+        boolean due = loop.nowMs() - runnerReadMs >= MIN_RUNNER_READ_INTERVAL_MS;
+        if (due && cancelRunnerRead.isPresent() && dispatcher.awaitsRunnerEntry(loop.nowMs())) {
+            cancelRunnerRead.get().run();
+            loadRunners();
+        }
+    }
+
     private void onRunnerRows(List<Row> rows) {
         List<RunnerEntry> entries = new ArrayList<>();
         for (Row row : rows) {
@@ -272,6 +290,7 @@
         // Scheduled first, so that an unexpected exception does not end the ticks.
         loop.schedule(TICK_INTERVAL_MS, this::tick);
         dispatcher.tick(loop.nowMs(), loop.wallClockMs(), committer.mayRenewLeases());
+        readRunnersEarly();
         requestAdvice();
         commitPending();
     }
--- a/core/src/main/java/org/pollensill/dispatch/AnswerHandler.java
+++ b/core/src/main/java/org/pollensill/dispatch/AnswerHandler.java
@@ -86,8 +86,7 @@
             return;
         }
         if (answer.outcome() == OrderOutcome.OTHER_RUNNER) {
-            reportHandler.endIncarnation(runner, nowMs);
-            runner.listed = false;
+            reportHandler.onOtherRunner(runner, nowMs);
             runner.nextRenewalAtMs = nowMs + DispatchTiming.UNRECORDED_RENEWAL_INTERVAL_MS;
             return;
         }
--- a/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
@@ -192,6 +192,22 @@
         fleet.update(entries);
     }
 
+    /**
+     * Returns whether the list of runners should be read early: a runner has started anew, and nothing is placed on it
+     * until its entry is known.
+     *
+     * @param nowMs the time
+     * @return whether an early read may end the wait
+     */
+    public boolean awaitsRunnerEntry(long nowMs) {
+        for (RunnerState runner : fleet.all()) {
+            if (runner.awaitsEntry(nowMs)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
      * Places tasks and returns the changes to be committed next.
      *
--- a/core/src/main/java/org/pollensill/dispatch/JobTable.java
+++ b/core/src/main/java/org/pollensill/dispatch/JobTable.java
@@ -179,6 +179,7 @@
                 if (runner.incarnationStartMs == assignedRunner.incarnationStartMs()) {
                     task.phase = TaskState.Phase.ORDERED;
                     task.runner = runner;
+                    task.placedIncarnationStartMs = assignedRunner.incarnationStartMs();
                     task.startedAtMs = nowMs;
                     task.progressAtMs = nowMs;
                     task.paceChangedAtMs = nowMs;
--- a/core/src/main/java/org/pollensill/dispatch/PlacementObstacle.java
+++ b/core/src/main/java/org/pollensill/dispatch/PlacementObstacle.java
@@ -12,6 +12,8 @@
     DRAINING,
     /** The runner has not confirmed this leader's fencing token, or its last renewal has no answer. */
     UNRESPONSIVE,
+    /** The runner has started anew, and its list entry is that of another life. */
+    ENTRY_OUTDATED,
     /** The runner is quarantined after failures, or its probe task may still show whether it works. */
     QUARANTINED,
     /** The runner has refused a start a short time ago. */
--- a/core/src/main/java/org/pollensill/dispatch/ReportHandler.java
+++ b/core/src/main/java/org/pollensill/dispatch/ReportHandler.java
@@ -231,7 +231,8 @@
         }
         boolean tasksStay = false;
         for (TaskState task : new ArrayList<>(runner.tasks.values())) {
-            if (task.phase != TaskState.Phase.ORDERED && !listed.contains(task.name)) {
+            boolean mayHaveStarted = task.phase == TaskState.Phase.ORDERED && !task.startIsUnsent();
+            if (!mayHaveStarted && !listed.contains(task.name)) {
                 releaseLost(task, Cause.RUNNER_RESTARTED, nowMs, 0);
                 continue;
             }
@@ -243,6 +244,7 @@
             pendingChanges.changed(task);
         }
         runner.beginIncarnation(report.incarnationStartMs());
+        runner.incarnationKnownAtMs = nowMs;
         if (tasksStay) {
             // The orders named a lease on the former incarnation's clock.
             runner.recordLeaseEnd(report.clockMs() + DispatchTiming.MAX_LEASE_MS);
@@ -256,11 +258,17 @@
         }
     }
 
-    /** Releases all runs of a runner that has ended for certain, with the start orders that it has not accepted. */
-    void endIncarnation(RunnerState runner, long nowMs) {
+    /**
+     * Handles the answer of another runner at the address of one, which has ended for certain: releases its runs, with
+     * the start orders that it has not accepted. Its list entry may stay for a while, so it takes nothing until it
+     * reports.
+     */
+    void onOtherRunner(RunnerState runner, long nowMs) {
         for (TaskState task : new ArrayList<>(runner.tasks.values())) {
             releaseLost(task, Cause.RUNNER_RESTARTED, nowMs, 0);
         }
+        runner.listed = false;
+        runner.unansweredRenewals = Math.max(1, runner.unansweredRenewals);
     }
 
     /** Stops all runs of a job that has reached a final state. */
--- a/core/src/main/java/org/pollensill/dispatch/RunnerState.java
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerState.java
@@ -18,8 +18,14 @@
     /** Expected utilization of the processors reserved by a latency-critical task, which is sized for its peak load. */
     private static final double LATENCY_CRITICAL_UTILIZATION = 0.5;
 
+    /** Time after the first report of an incarnation in which the list is read early for its entry. */
+    private static final long EARLY_LIST_READ_MS = 1_000;
+
     final String id;
     long incarnationStartMs;
+    /** Time of the first report of the incarnation, where that came before its list entry. */
+    long incarnationKnownAtMs = Long.MIN_VALUE / 2;
+
     /** The runner's list entry, empty where the runner is only known from stored placements. */
     Optional<RunnerEntry> entry = Optional.empty();
 
@@ -150,6 +156,19 @@
         return entry.map(found -> new RunnerAddress(id, found.address()));
     }
 
+    /**
+     * Returns whether the list entry is that of the incarnation that has reported. What the entry of one incarnation
+     * says, such as the labels and the capacity, is no fact about another one.
+     */
+    boolean entryIsCurrent() {
+        return entry.isPresent() && entry.get().incarnationStartMs() == incarnationStartMs;
+    }
+
+    /** Returns whether the list should be read early, since the entry of an incarnation that has reported is missing. */
+    boolean awaitsEntry(long nowMs) {
+        return listed && fenceConfirmed && !entryIsCurrent() && nowMs - incarnationKnownAtMs < EARLY_LIST_READ_MS;
+    }
+
     /** Returns whether the runner has accepted this leader and answered its last renewal. */
     boolean isResponsive() {
         return fenceConfirmed && clock.isPresent() && unansweredRenewals == 0;
@@ -170,6 +189,9 @@
         if (!fenceConfirmed || unansweredRenewals != 0) {
             return PlacementObstacle.UNRESPONSIVE.found();
         }
+        if (!entryIsCurrent()) {
+            return PlacementObstacle.ENTRY_OUTDATED.found();
+        }
         if (nowMs < quarantineEndMs) {
             return PlacementObstacle.QUARANTINED.found();
         }
--- a/core/src/main/java/org/pollensill/dispatch/StartSender.java
+++ b/core/src/main/java/org/pollensill/dispatch/StartSender.java
@@ -55,6 +55,15 @@
             reportHandler.releaseLost(task, Cause.RUNNER_RESTARTED, nowMs, 0);
             return;
         }
+        if (task.placedIncarnationStartMs != runner.incarnationStartMs) {
+            // The runner was chosen by what its former incarnation was.
+            if (task.startAttempts == 0) {
+                reportHandler.releaseLost(task, Cause.RUNNER_RESTARTED, nowMs, 0);
+            } else {
+                reportHandler.stop(task, Cause.RUNNER_RESTARTED, nowMs);
+            }
+            return;
+        }
         if (!orders.mayStart()) {
             task.startDueAtMs = nowMs + DispatchTiming.RETRY_DELAY_MS;
             return;
@@ -98,8 +107,7 @@
                 onUnconfirmedStart(task, answer.outcome(), nowMs);
                 return;
             case OTHER_RUNNER:
-                reportHandler.endIncarnation(runner, nowMs);
-                runner.listed = false;
+                reportHandler.onOtherRunner(runner, nowMs);
                 return;
             case NO_TICKET:
                 task.step.tickets.invalidate(runner.id);
--- a/core/src/main/java/org/pollensill/dispatch/TaskState.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskState.java
@@ -40,6 +40,9 @@
     /** The runner of the task in phases PLACED to RUNNING, otherwise null. */
     RunnerState runner;
 
+    /** The incarnation of the runner for which the task was placed there; a start is sent to no other one. */
+    long placedIncarnationStartMs;
+
     boolean stopping;
     long stopSentAtMs;
     /** Number of stop orders sent for the run. */
@@ -132,6 +135,11 @@
         return phase == Phase.RUNNING && !stopping && percent >= 100;
     }
 
+    /** Returns whether this leader has chosen the runner and has not sent the start order yet. */
+    boolean startIsUnsent() {
+        return startAttempts == 0 && startDueAtMs != 0;
+    }
+
     boolean hasRunner() {
         return runner != null;
     }
@@ -157,6 +165,7 @@
         progressAtMs = nowMs;
         progressClockMs = 0;
         runner = chosen;
+        placedIncarnationStartMs = chosen.incarnationStartMs;
         chosen.add(this);
         if (chosen.isOnProbation()) {
             chosen.probeTask = this;
