Follow the other runners when one entry among theirs is odd

Seen with real processes and the options of the deploy file: with arrays nested 900 deep in one entry a new leader starts nothing (20 of 30 jobs not done), and no log says why. Of twenty kinds of odd entry, the two of deep arrays did this.

Cause: arrays were read recursively without a limit of depth, on a stack of 256 KiB, and the event loop logs exceptions and no errors.

Change: one limit of depth for all values; entries are checked in their decoder, and logged once where they describe no runner; numbers of all decoders are bounded; a failed read of a table is logged.

Test: MalformedMessagesTest, on a small stack.

--- a/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorEvent.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorEvent.java
@@ -82,6 +82,10 @@
     RUNNER_ANSWERS_DELAYED(7038, Level.WARN, "answers of runners delayed"),
     /** Answers of runners take the usual time again. */
     RUNNER_ANSWERS_TIMELY(7039, Level.INFO, "answers of runners timely"),
+    /** A row among those of the runners describes none; it is not followed. */
+    RUNNER_ENTRY_UNREADABLE(7044, Level.WARN, "runner entry unreadable"),
+    /** A page of a table cannot be read; the read is repeated until it succeeds. */
+    TABLE_READ_FAILED(7045, Level.WARN, "table read failed"),
     /** The settings file was reloaded. */
     SETTINGS_RELOADED(7040, Level.INFO, "settings reloaded"),
     /** The settings file cannot be read or is invalid; the former settings stay in force. */
--- a/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorLoop.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorLoop.java
@@ -52,13 +52,13 @@
     private static void runLoggingFailures(Runnable action) {
         try {
             action.run();
-        } catch (RuntimeException e) {
-            // An exception in one action must not stop the timers of others.
+        } catch (RuntimeException | StackOverflowError e) {
+            // A failure of one action must not stop the timers of others. A stack overflow leaves no other damage.
             LOG.log(CoordinatorEvent.INTERNAL_FAILURE, e, new Object[] {"at", topFrame(e)});
         }
     }
 
-    private static String topFrame(RuntimeException failure) {
+    private static String topFrame(Throwable failure) {
         StackTraceElement[] frames = failure.getStackTrace();
         return frames.length == 0 ? "" : frames[0].toString();
     }
--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
@@ -2,8 +2,10 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import org.pollensill.adapter.RunnerEntryCodec;
 import org.pollensill.dispatch.AdviceRequest;
@@ -68,6 +70,9 @@
     private Optional<Runnable> cancelRunnerRead = Optional.empty();
 
     private long runnerReadMs;
+    /** Keys of the rows in the last read that describe no runner. */
+    private Set<String> unreadableEntries = Set.of();
+
     private boolean jobsLoaded;
     private boolean runnersLoaded;
     private boolean stopped;
@@ -266,9 +271,19 @@
 
     private void onRunnerRows(List<Row> rows) {
         List<RunnerEntry> entries = new ArrayList<>();
+        Set<String> unreadable = new HashSet<>();
         for (Row row : rows) {
-            RunnerEntryCodec.decode(row).ifPresent(entries::add);
+            try {
+                entries.add(RunnerEntryCodec.decode(row));
+            } catch (JsonSyntaxException | RuntimeException e) {
+                // Other writers have access to this table. Such a row names no runner, and is logged once.
+                unreadable.add(row.key());
+                if (!unreadableEntries.contains(row.key())) {
+                    LOG.log(CoordinatorEvent.RUNNER_ENTRY_UNREADABLE, "key", row.key(), "problem", e.getMessage());
+                }
+            }
         }
+        unreadableEntries = unreadable;
         dispatcher.updateRunners(entries);
         if (!runnersLoaded) {
             runnersLoaded = true;
--- a/coordinator/src/main/java/org/pollensill/coordinator/TableReader.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/TableReader.java
@@ -6,8 +6,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 
+import org.pollensill.error.Failures;
 import org.pollensill.platform.Row;
 import org.pollensill.platform.RowStore;
+import org.pollensill.runtime.event.EventLog;
 
 /** Reads whole tables page by page; a failed page is retried until it succeeds. */
 final class TableReader {
@@ -20,6 +22,11 @@
 
     private static final long RETRY_DELAY_MS = 150;
 
+    /** Number of consecutive failures for each line in the log. */
+    private static final int FAILURES_PER_LINE = 20;
+
+    private static final EventLog LOG = EventLog.of(TableReader.class);
+
     private final Timer timer;
     private final RowStore store;
     private final StoreHealth health;
@@ -27,6 +34,8 @@
     /** Number of rows in the next page; halved by a failed call, since a large page may not pass in time. */
     private int pageRows = MAX_PAGE_ROWS;
 
+    private int failures;
+
     /**
      * The rows of a table.
      *
@@ -62,6 +71,20 @@
         return result;
     }
 
+    /** Logs the first failure of a series, and one now and then while it goes on. */
+    private void logFailure(String table, Throwable failure) {
+        if (failures++ % FAILURES_PER_LINE == 0) {
+            LOG.log(
+                    CoordinatorEvent.TABLE_READ_FAILED,
+                    "table",
+                    table,
+                    "problem",
+                    String.valueOf(Failures.unwrap(failure).getMessage()),
+                    "failures",
+                    failures);
+        }
+    }
+
     private void readPage(
             String table, String after, long firstVersion, List<Row> rows, CompletableFuture<Snapshot> result) {
         if (stopped.getAsBoolean()) {
@@ -69,10 +92,12 @@
         }
         health.track(store.page(table, after, pageRows)).whenComplete((page, failure) -> {
             if (failure != null) {
+                logFailure(table, failure);
                 pageRows = Math.max(MIN_PAGE_ROWS, pageRows / 2);
                 timer.schedule(RETRY_DELAY_MS, () -> readPage(table, after, firstVersion, rows, result));
                 return;
             }
+            failures = 0;
             rows.addAll(page.rows());
             long version = Math.min(firstVersion, page.version());
             if (page.truncated() && !page.rows().isEmpty()) {
--- a/core/src/main/java/org/pollensill/dispatch/TaskScheduler.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskScheduler.java
@@ -183,7 +183,8 @@
         Map<String, Long> idleByRack = new LinkedHashMap<>();
         for (RunnerState runner : fleet.all()) {
             Optional<RunnerEntry> entry = runner.entry;
-            if (entry.isPresent() && entry.get().service().equals(step.job.service)) {
+            boolean usable = entry.isPresent() && runner.isResponsive();
+            if (usable && entry.get().service().equals(step.job.service)) {
                 idleByRack.merge(entry.get().rack(), Math.max(0, runner.idleMillicores()), Long::sum);
             }
         }
--- a/core/src/main/java/org/pollensill/json/JsonObject.java
+++ b/core/src/main/java/org/pollensill/json/JsonObject.java
@@ -76,9 +76,6 @@
     }
 
     private static JsonObject parseMembers(JsonParser parser, int depth) throws IOException, JsonSyntaxException {
-        if (depth > MAX_DEPTH) {
-            throw new JsonSyntaxException("nesting exceeds the maximum depth of " + MAX_DEPTH);
-        }
         Map<String, Object> members = new LinkedHashMap<>();
         while (parser.nextToken() != JsonToken.END_OBJECT) {
             String name = parser.currentName();
@@ -92,6 +89,10 @@
     }
 
     private static Object parseValue(JsonParser parser, int depth) throws IOException, JsonSyntaxException {
+        // Objects and arrays are read recursively, and the stacks of the daemons are small.
+        if (depth > MAX_DEPTH) {
+            throw new JsonSyntaxException("nesting exceeds the maximum depth of " + MAX_DEPTH);
+        }
         switch (parser.currentToken()) {
             case START_OBJECT:
                 return parseMembers(parser, depth + 1);
@@ -148,6 +149,18 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns an integer member within bounds.
+     *
+     * @param name the member's name
+     * @param min the lowest value
+     * @param max the highest value
+     * @return the integer, empty if the member is absent, not an integer or out of bounds
+     */
+    public Optional<Long> integer(String name, long min, long max) {
+        return integer(name).filter(value -> value >= min && value <= max);
+    }
+
     /**
      * Returns a numeric member.
      *
