Start all members of a gang from one checkpoint

Cause: the checkpoint is kept by task and was sent by task. Change: a gang goes on from the one that was reported with the highest progress.

Test: GangCheckpointTest; before, expected [c2, c2, c2], was [c1, c2, ].

--- a/core/src/main/java/org/pollensill/dispatch/ReportHandler.java
+++ b/core/src/main/java/org/pollensill/dispatch/ReportHandler.java
@@ -107,6 +107,7 @@
         }
         if (!row.checkpoint().isEmpty()) {
             task.checkpoint = row.checkpoint();
+            task.checkpointPercent = row.percent();
         }
         if (row.percent() != task.percent) {
             task.percent = row.percent();
@@ -139,6 +140,7 @@
         }
         if (!end.checkpoint().isEmpty()) {
             task.checkpoint = end.checkpoint();
+            task.checkpointPercent = task.percent;
         }
         JobState job = task.step.job;
         pendingChanges.endedRun(runner, job);
--- a/core/src/main/java/org/pollensill/dispatch/TaskScheduler.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskScheduler.java
@@ -212,6 +212,18 @@
         }
     }
 
+    /** Returns the checkpoint from which a gang goes on: that of any member is valid for all, and all must have the same. */
+    private static String gangCheckpoint(StepState step) {
+        TaskState furthest = step.tasks.get(0);
+        for (TaskState member : step.tasks) {
+            boolean better = furthest.checkpoint.isEmpty() || member.checkpointPercent > furthest.checkpointPercent;
+            if (!member.checkpoint.isEmpty() && better) {
+                furthest = member;
+            }
+        }
+        return furthest.checkpoint;
+    }
+
     private boolean placeAll(StepState step, Optional<String> rack, int run, long nowMs) {
         Collection<RunnerState> runners = fleet.all();
         List<TaskState> placed = new ArrayList<>();
@@ -228,7 +240,9 @@
             task.placeOn(runner.get(), nowMs);
             placed.add(task);
         }
+        String checkpoint = gangCheckpoint(step);
         for (TaskState member : placed) {
+            member.checkpoint = checkpoint;
             jobs.placementCounts().placed(step, member.runner);
             pendingChanges.placed(member);
             listener.placed(member.name, member.run, member.runner.id, nowMs - member.readySinceMs);
--- a/core/src/main/java/org/pollensill/dispatch/TaskState.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskState.java
@@ -37,6 +37,9 @@
     int run;
     int failures;
     String checkpoint = "";
+    /** Progress in the report that brought the checkpoint; 0 where that is not known. */
+    int checkpointPercent;
+
     /** The runner of the task in phases PLACED to RUNNING, otherwise null. */
     RunnerState runner;
 
