Leave rejected deletions and answered submissions out of later commits

A deletion that the store rejects would have been put into each commit without other changes, and the lease would not have been renewed. A submission that was answered meanwhile was written again after a split. Found by reading; no run has shown either.

--- a/coordinator/src/main/java/org/pollensill/coordinator/IntakeWriter.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/IntakeWriter.java
@@ -227,7 +227,11 @@
         LOG.log(CoordinatorEvent.COMMIT_REJECTED, "jobs", batch.size());
         if (batch.size() > 1) {
             queue.maxBatchJobs = batch.size() / 2;
-            requeue(queue, new ArrayList<>(batch.values()));
+            requeue(
+                    queue,
+                    batch.values().stream()
+                            .filter(pending -> !pending.result.isDone())
+                            .toList());
             return;
         }
         queue.maxBatchJobs = MAX_BATCH_JOBS;
--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
@@ -366,7 +366,8 @@
         Optional<Write> estimates = estimatesWrite(nowMs);
         estimates.ifPresent(writes::add);
         committer.commit(dispatcher.waitingJobs(), writes, result -> {
-            if (result != Committer.Result.COMMITTED) {
+            // Deletions that the store rejects are left to the next leader, so that the lease can be renewed.
+            if (result == Committer.Result.WITHDRAWN) {
                 expiry.restore(expired);
             }
             if (result == Committer.Result.REJECTED) {
