--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
@@ -2,12 +2,9 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 
-import org.pollensill.adapter.RunnerEntryCodec;
 import org.pollensill.dispatch.AdviceRequest;
 import org.pollensill.dispatch.Batch;
 import org.pollensill.dispatch.Dispatcher;
@@ -34,12 +31,6 @@
     /** Interval between two ticks of the dispatcher. */
     private static final long TICK_INTERVAL_MS = 50;
 
-    /** Interval between two reads of the runners' rows; they change with every heartbeat, so polling is cheaper. */
-    private static final long RUNNER_READ_INTERVAL_MS = 600;
-
-    /** Minimum interval between two reads of the runners' rows while the entry of a restarted runner is awaited. */
-    private static final long MIN_RUNNER_READ_INTERVAL_MS = 200;
-
     /** Interval between two renewals of the leader lease while there is nothing to commit. */
     private static final long LEASE_RENEWAL_INTERVAL_MS = 700;
 
@@ -62,17 +53,11 @@
     private final OrderSender orders;
     private final Dispatcher dispatcher;
     private final IntakeFeed intakeFeed;
+    private final RunnerFeed runnerFeed;
     private final StoredProgress progress = new StoredProgress();
     private final JobExpiry expiry;
     private String storedEstimates = "";
     private long estimatesCheckedAtMs;
-    /** Cancels the next read of the runners' rows, empty while one is in flight. */
-    private Optional<Runnable> cancelRunnerRead = Optional.empty();
-
-    private long runnerReadMs;
-    /** Keys of the rows in the last read that describe no runner. */
-    private Set<String> unreadableEntries = Set.of();
-
     private boolean jobsLoaded;
     private boolean runnersLoaded;
     private boolean stopped;
@@ -107,6 +92,7 @@
         this.expiry = new JobExpiry(
                 commit -> health.track(store.commit(commit)), new DispatcherJobs(), settings.keepEndedMs());
         this.intakeFeed = new IntakeFeed(loop, store, health, this::onIntake);
+        this.runnerFeed = new RunnerFeed(loop, reader, this::onRunners);
     }
 
     void start(Optional<QueueCatalogue> catalogue, boolean progressRangesAllowed) {
@@ -114,7 +100,7 @@
         catalogue.ifPresent(dispatcher::setCatalogue);
         loadEstimates();
         loadProgress();
-        loadRunners();
+        runnerFeed.start();
         tick();
         runExpiry();
     }
@@ -251,39 +237,7 @@
         }
     }
 
-    private void loadRunners() {
-        runnerReadMs = loop.nowMs();
-        cancelRunnerRead = Optional.empty();
-        reader.read(RunnerEntryCodec.TABLE).thenAccept(snapshot -> {
-            cancelRunnerRead = Optional.of(loop.schedule(RUNNER_READ_INTERVAL_MS, this::loadRunners));
-            loop.execute(() -> onRunnerRows(snapshot.rows()));
-        });
-    }
-
-    /** Reads the runners' rows before their next turn, unless a read is in flight. */
-    private void readRunnersEarly() {
-        boolean due = loop.nowMs() - runnerReadMs >= MIN_RUNNER_READ_INTERVAL_MS;
-        if (due && cancelRunnerRead.isPresent() && dispatcher.awaitsRunnerEntry(loop.nowMs())) {
-            cancelRunnerRead.get().run();
-            loadRunners();
-        }
-    }
-
-    private void onRunnerRows(List<Row> rows) {
-        List<RunnerEntry> entries = new ArrayList<>();
-        Set<String> unreadable = new HashSet<>();
-        for (Row row : rows) {
-            try {
-                entries.add(RunnerEntryCodec.decode(row));
-            } catch (JsonSyntaxException | RuntimeException e) {
-                // Other writers have access to this table. Such a row names no runner, and is logged once.
-                unreadable.add(row.key());
-                if (!unreadableEntries.contains(row.key())) {
-                    LOG.log(CoordinatorEvent.RUNNER_ENTRY_UNREADABLE, "key", row.key(), "problem", e.getMessage());
-                }
-            }
-        }
-        unreadableEntries = unreadable;
+    private void onRunners(List<RunnerEntry> entries) {
         dispatcher.updateRunners(entries);
         if (!runnersLoaded) {
             runnersLoaded = true;
@@ -305,7 +259,9 @@
         // Scheduled first, so that an unexpected exception does not end the ticks.
         loop.schedule(TICK_INTERVAL_MS, this::tick);
         dispatcher.tick(loop.nowMs(), loop.wallClockMs(), committer.mayRenewLeases());
-        readRunnersEarly();
+        if (dispatcher.awaitsRunnerEntry(loop.nowMs())) {
+            runnerFeed.readEarly();
+        }
         requestAdvice();
         commitPending();
     }
@@ -412,22 +368,22 @@
 
         @Override
         public List<String> endedBefore(long timeMs) {
-            return dispatcher.endedBefore(timeMs);
+            return dispatcher.retention().endedBefore(timeMs);
         }
 
         @Override
         public void remove(String id) {
-            dispatcher.removeJob(id);
+            dispatcher.retention().removeJob(id);
         }
 
         @Override
         public List<String> cancelledEarlyBefore(long timeMs) {
-            return dispatcher.cancelledEarlyBefore(timeMs);
+            return dispatcher.retention().cancelledEarlyBefore(timeMs);
         }
 
         @Override
         public void removeEarlyCancellation(String id) {
-            dispatcher.removeEarlyCancellation(id);
+            dispatcher.retention().removeEarlyCancellation(id);
         }
     }
 }
--- a/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
@@ -1,6 +1,5 @@
 package org.pollensill.dispatch;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -37,6 +36,7 @@
     private final AdvicePoller advicePoller;
     private final WaitExplainer waitExplainer;
     private final EarlyCancellations earlyCancellations = new EarlyCancellations();
+    private final JobRetention retention;
     private boolean active;
 
     private Dispatcher(
@@ -49,6 +49,7 @@
         this.fleet = new Fleet(nowMs + inheritedLeaseMs);
         this.pendingChanges = new PendingChanges(recordKeyPrefix, listener);
         this.jobs = new JobTable(pendingChanges, listener);
+        this.retention = new JobRetention(jobs, earlyCancellations, interferenceModel);
         RunnerHealth health = new RunnerHealth(listener);
         this.reportHandler = new ReportHandler(jobs, pendingChanges, health, listener, orders);
         this.starts = new StartSender(fencingToken, orders, fleet, jobs, health, reportHandler);
@@ -200,12 +201,7 @@
      * @return whether an early read may end the wait
      */
     public boolean awaitsRunnerEntry(long nowMs) {
-        for (RunnerState runner : fleet.all()) {
-            if (runner.awaitsEntry(nowMs)) {
-                return true;
-            }
-        }
-        return false;
+        return fleet.awaitsEntry(nowMs);
     }
 
     /**
@@ -393,6 +389,15 @@
         }
     }
 
+    /**
+     * Returns the jobs and cancellations that may be forgotten after a time.
+     *
+     * @return a view of this dispatcher's jobs
+     */
+    public JobRetention retention() {
+        return retention;
+    }
+
     /**
      * Returns the state of a job as clients may see it.
      *
@@ -411,49 +416,4 @@
     public Map<String, Integer> waitingJobs() {
         return jobs.waitingByQueue();
     }
-
-    /**
-     * Returns the jobs whose final state is durable and was reached before a time.
-     *
-     * @param timeMs the time
-     * @return their identities
-     */
-    public List<String> endedBefore(long timeMs) {
-        List<String> ended = new ArrayList<>();
-        for (JobState job : jobs.all()) {
-            if (job.recordedStatus.isFinal() && job.finalAtMs < timeMs) {
-                ended.add(job.request.id());
-            }
-        }
-        return ended;
-    }
-
-    /**
-     * Returns the jobs that have not come and whose cancellation became known before a time.
-     *
-     * @param timeMs the time
-     * @return their identities
-     */
-    public List<String> cancelledEarlyBefore(long timeMs) {
-        return earlyCancellations.before(timeMs);
-    }
-
-    /**
-     * Forgets the cancellation of a job that has not come.
-     *
-     * @param id the job
-     */
-    public void removeEarlyCancellation(String id) {
-        earlyCancellations.take(id);
-    }
-
-    /**
-     * Removes a job whose final state is durable.
-     *
-     * @param id the job
-     */
-    public void removeJob(String id) {
-        interferenceModel.removeJob(id);
-        jobs.get(id).filter(job -> job.recordedStatus.isFinal()).ifPresent(jobs::remove);
-    }
 }
--- a/core/src/main/java/org/pollensill/dispatch/Fleet.java
+++ b/core/src/main/java/org/pollensill/dispatch/Fleet.java
@@ -34,6 +34,16 @@
         return Optional.ofNullable(runners.get(id));
     }
 
+    /** Returns whether a runner has started anew and its list entry is awaited. */
+    boolean awaitsEntry(long nowMs) {
+        for (RunnerState runner : runners.values()) {
+            if (runner.awaitsEntry(nowMs)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Returns the runner that a stored placement refers to, and creates it if it is not listed yet. */
     RunnerState getOrCreate(String id, long incarnationStartMs) {
         RunnerState runner = runners.computeIfAbsent(id, key -> create(key, incarnationStartMs));
