--- a/core/src/main/java/org/pollensill/dispatch/PlacementObstacle.java
+++ b/core/src/main/java/org/pollensill/dispatch/PlacementObstacle.java
@@ -12,7 +12,7 @@
     DRAINING,
     /** The runner has not confirmed this leader's fencing token, or its last renewal has no answer. */
     UNRESPONSIVE,
-    /** The runner has started anew, and its list entry is that of another life. */
+    /** The runner has started anew, and its list entry is that of another incarnation. */
     ENTRY_OUTDATED,
     /** The runner is quarantined after failures, or its probe task may still show whether it works. */
     QUARANTINED,
