--- a/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorEvent.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorEvent.java
@@ -78,6 +78,12 @@
     TASK_WAITING(7036, Level.INFO, "task waiting"),
     /** A long-running task has had no run for 5 s and fits nowhere; the capacity that it needs of this runner is withheld. */
     CAPACITY_RESERVED(7037, Level.INFO, "capacity reserved"),
+    /** A job with an objective has ended, or its completion has lost its value; the line has its size and slowest task. */
+    JOB_OUTCOME(7046, Level.INFO, "job outcome"),
+    /** A long-running task is stopped to free capacity for the named task. */
+    TASK_PREEMPTED(7047, Level.INFO, "task preempted"),
+    /** Run-to-completion tasks wait; the line has the largest blocks of processors and the largest need. */
+    CAPACITY_BLOCKS(7048, Level.INFO, "capacity blocks"),
     /** Answers of runners take longer than usual; their timeouts are longer and optional orders are saved. */
     RUNNER_ANSWERS_DELAYED(7038, Level.WARN, "answers of runners delayed"),
     /** Answers of runners take the usual time again. */
--- a/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorMetrics.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorMetrics.java
@@ -1,10 +1,15 @@
 package org.pollensill.coordinator;
 
+import java.util.HashSet;
+import java.util.Set;
+
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.pollensill.dispatch.CapacityBlocks;
 import org.pollensill.dispatch.DispatchListener;
+import org.pollensill.dispatch.JobOutcome;
 import org.pollensill.dispatch.PlacementObstacle;
 import org.pollensill.dispatch.WaitReport;
 
@@ -16,6 +21,16 @@
 
     private static final double MS_PER_S = 1_000;
 
+    private static final long MILLICORE_MS_PER_CORE_S = 1_000_000;
+
+    /** Upper bounds of the size classes of jobs, in core-seconds. */
+    private static final long[] SIZE_BOUNDS_CORE_S = {1, 4, 16, 64, 256, 1_024};
+
+    /** Maximum number of queues with a label value of their own. */
+    private static final int MAX_QUEUE_LABELS = 32;
+
+    private static final String OTHER_QUEUES = "other";
+
     private final Counter jobRequests;
     private final Counter lostRuns;
     private final Counter doneTasks;
@@ -29,6 +44,9 @@
     private final Counter capacityReservations;
     private final Gauge waitingTasks;
     private final Counter waitExplanations;
+    private final Counter jobOutcomes;
+    private final Gauge capacityBlocks;
+    private final Set<String> queueLabels = new HashSet<>();
     private final Gauge commitOverdue;
     private final Gauge jobsSetAside;
     private final Gauge leading;
@@ -96,6 +114,17 @@
                 .help("Explanations why a task waits, by the most frequent reason")
                 .labelNames("reason")
                 .register(registry);
+        jobOutcomes = Counter.builder()
+                .name("pollensill_job_outcomes_total")
+                .help("Jobs with an objective by queue, upper bound of their work in core-seconds, and result")
+                .labelNames("queue", "work", "result")
+                .register(registry);
+        capacityBlocks = Gauge.builder()
+                .name("pollensill_capacity_block_millicores")
+                .help("Processors: largest free and largest preemptible block of a runner, largest need that waits, "
+                        + "all needs that wait, being freed by preemption; 0 where this process does not lead")
+                .labelNames("block")
+                .register(registry);
         commitOverdue = Gauge.builder()
                 .name("pollensill_commit_overdue_seconds")
                 .help("Time since the leader's last commit that took effect, 0 while its commits take effect")
@@ -186,10 +215,41 @@
         return report.mainObstacle().map(PlacementObstacle::name).orElse("NO_RUNNER");
     }
 
+    void jobOutcome(JobOutcome outcome) {
+        boolean known = queueLabels.contains(outcome.queue());
+        if (!known && queueLabels.size() < MAX_QUEUE_LABELS) {
+            known = queueLabels.add(outcome.queue());
+        }
+        jobOutcomes
+                .labelValues(
+                        known ? outcome.queue() : OTHER_QUEUES,
+                        sizeClass(outcome.workMillicoreMs()),
+                        outcome.result().name())
+                .inc();
+    }
+
+    private static String sizeClass(long workMillicoreMs) {
+        for (long bound : SIZE_BOUNDS_CORE_S) {
+            if (workMillicoreMs <= bound * MILLICORE_MS_PER_CORE_S) {
+                return Long.toString(bound);
+            }
+        }
+        return "+Inf";
+    }
+
+    void capacityBlocks(CapacityBlocks blocks) {
+        capacityBlocks.labelValues("free").set(blocks.largestFreeMillicores());
+        capacityBlocks.labelValues("preemptible").set(blocks.largestPreemptibleMillicores());
+        capacityBlocks.labelValues("waiting_largest").set(blocks.largestWaitingMillicores());
+        capacityBlocks.labelValues("waiting_all").set(blocks.waitingMillicores());
+        capacityBlocks.labelValues("being_freed").set(blocks.beingFreedMillicores());
+    }
+
     void leading(boolean isLeader) {
         leading.set(isLeader ? 1 : 0);
         if (!isLeader) {
             waitingTasks(0, 0);
+            capacityBlocks(new CapacityBlocks(0, 0, 0, 0, 0));
             commitOverdue(0);
             jobsSetAside.set(0);
         }
--- a/coordinator/src/main/java/org/pollensill/coordinator/DecisionLog.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/DecisionLog.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Map;
 
+import org.pollensill.dispatch.CapacityBlocks;
 import org.pollensill.dispatch.DispatchListener;
+import org.pollensill.dispatch.JobOutcome;
 import org.pollensill.dispatch.PlacementObstacle;
 import org.pollensill.dispatch.WaitReport;
 import org.pollensill.job.JobStatus;
@@ -52,6 +54,73 @@
         LOG.log(CoordinatorEvent.JOB_STATUS, "job", job, "status", status);
     }
 
+    @Override
+    public void outcome(JobOutcome outcome) {
+        metrics.jobOutcome(outcome);
+        LOG.log(
+                CoordinatorEvent.JOB_OUTCOME,
+                "job",
+                outcome.job(),
+                "queue",
+                outcome.queue(),
+                "result",
+                outcome.result(),
+                "elapsedMs",
+                outcome.elapsedMs(),
+                "objectiveMs",
+                outcome.objectiveMs(),
+                "workMillicoreMs",
+                outcome.workMillicoreMs(),
+                "steps",
+                outcome.steps(),
+                "tasks",
+                outcome.tasks(),
+                "doneTasks",
+                outcome.doneTasks(),
+                "repeatedRuns",
+                outcome.repeatedRuns(),
+                "largestNeedMillicores",
+                outcome.largestNeedMillicores(),
+                "longestWaitMs",
+                outcome.longestWaitMs(),
+                "slowestTask",
+                outcome.slowestTask().map(TaskName::toString).orElse(""));
+    }
+
+    @Override
+    public void preempted(TaskName task, String runner, long ranMs, TaskName beneficiary) {
+        LOG.log(
+                CoordinatorEvent.TASK_PREEMPTED,
+                "task",
+                task,
+                "runner",
+                runner,
+                "ranMs",
+                ranMs,
+                "beneficiary",
+                beneficiary);
+    }
+
+    @Override
+    public void capacityBlocks(CapacityBlocks blocks) {
+        metrics.capacityBlocks(blocks);
+        if (blocks.waitingMillicores() == 0) {
+            return;
+        }
+        LOG.log(
+                CoordinatorEvent.CAPACITY_BLOCKS,
+                "largestFreeMillicores",
+                blocks.largestFreeMillicores(),
+                "largestPreemptibleMillicores",
+                blocks.largestPreemptibleMillicores(),
+                "largestWaitingMillicores",
+                blocks.largestWaitingMillicores(),
+                "waitingMillicores",
+                blocks.waitingMillicores(),
+                "beingFreedMillicores",
+                blocks.beingFreedMillicores());
+    }
+
     @Override
     public void jobSetAside(String job, int rows) {
         metrics.jobSetAside();
--- a/coordinator/src/test/java/org/pollensill/coordinator/DecisionLogTest.java
+++ b/coordinator/src/test/java/org/pollensill/coordinator/DecisionLogTest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.prometheus.metrics.model.snapshots.CounterSnapshot;
@@ -9,6 +10,7 @@
 import io.prometheus.metrics.model.snapshots.MetricSnapshot;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.pollensill.dispatch.JobOutcome;
 import org.pollensill.dispatch.PlacementObstacle;
 import org.pollensill.dispatch.WaitReport;
 import org.pollensill.job.TaskName;
@@ -126,4 +128,56 @@
             assertEquals(0, gauge("other"));
         }
     }
+
+    @Nested
+    class Outcomes {
+
+        private JobOutcome outcome(String queue, long workMillicoreMs) {
+            return new JobOutcome(
+                    "aaaaaaaaaaaaaaaa",
+                    queue,
+                    JobOutcome.Result.LATE,
+                    2_000,
+                    1_400,
+                    workMillicoreMs,
+                    1,
+                    4,
+                    4,
+                    0,
+                    20_000,
+                    900,
+                    Optional.of(TASK));
+        }
+
+        private double outcomes(String queue, String work) {
+            return ((CounterSnapshot) metric("pollensill_job_outcomes"))
+                    .getDataPoints().stream()
+                            .filter(point -> queue.equals(point.getLabels().get("queue")))
+                            .filter(point -> work.equals(point.getLabels().get("work")))
+                            .filter(point -> "LATE".equals(point.getLabels().get("result")))
+                            .findFirst()
+                            .orElseThrow()
+                            .getValue();
+        }
+
+        @Test
+        void shouldCountJobsBySizeClass() {
+            log.outcome(outcome("r-1", 16_000_000));
+            log.outcome(outcome("r-1", 16_000_001));
+            log.outcome(outcome("r-1", 1_024_000_001));
+            assertEquals(1, outcomes("r-1", "16"));
+            assertEquals(1, outcomes("r-1", "64"));
+            assertEquals(1, outcomes("r-1", "+Inf"));
+        }
+
+        @Test
+        void shouldBoundTheNumberOfQueueLabels() {
+            for (int i = 0; i < 40; i++) {
+                log.outcome(outcome("r-" + i, 1));
+            }
+            log.outcome(outcome("r-0", 1));
+            assertEquals(2, outcomes("r-0", "1"));
+            assertEquals(8, outcomes("other", "1"));
+        }
+    }
 }
--- a/core/src/main/java/org/pollensill/dispatch/DispatchListener.java
+++ b/core/src/main/java/org/pollensill/dispatch/DispatchListener.java
@@ -78,6 +78,30 @@
      */
     void statusChanged(String job, JobStatus status);
 
+    /**
+     * Called once for each job that has an objective, when it has ended or its completion has lost its value.
+     *
+     * @param outcome how the job fared
+     */
+    void outcome(JobOutcome outcome);
+
+    /**
+     * Called when a long-running task is stopped to free capacity for a run-to-completion task.
+     *
+     * @param task the long-running task
+     * @param runner its runner
+     * @param ranMs time since the placement of its run, in milliseconds
+     * @param beneficiary the task that waits for the capacity
+     */
+    void preempted(TaskName task, String runner, long ranMs, TaskName beneficiary);
+
+    /**
+     * Called about once a second.
+     *
+     * @param blocks the largest blocks of processors, against what waits
+     */
+    void capacityBlocks(CapacityBlocks blocks);
+
     /**
      * Called when the progress of a job cannot be recorded, because the store rejects its content.
      *
--- a/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
@@ -59,7 +59,7 @@
                 fleet,
                 pendingChanges,
                 runnerSelector,
-                new Preemptor(fleet, runnerSelector, reportHandler),
+                new Preemptor(fleet, runnerSelector, reportHandler, listener),
                 new CapacityReservations(fleet, runnerSelector, listener),
                 listener);
         this.waitExplainer = new WaitExplainer(jobs, fleet, runnerSelector, taskScheduler, listener);
@@ -352,6 +352,7 @@
         for (JobState job : jobs.takeExhausted()) {
             reportHandler.fail(job, nowMs);
         }
+        jobs.reportOutcomes(nowMs);
         maintenance.tick(nowMs, mayRenew);
         waitExplainer.tick(nowMs);
     }
--- /dev/null
+++ b/core/src/main/java/org/pollensill/dispatch/JobOutcomes.java
@@ -0,0 +1,107 @@
+package org.pollensill.dispatch;
+
+import java.util.Collection;
+import java.util.Optional;
+
+import org.pollensill.job.JobStatus;
+import org.pollensill.job.TaskName;
+import org.pollensill.job.Trait;
+
+/** Reports once for each job that has an objective how it fared. */
+final class JobOutcomes {
+
+    /** Interval between two searches for jobs whose completion has lost its value. */
+    private static final long INTERVAL_MS = 500;
+
+    private final DispatchListener listener;
+    private long lastRoundAtMs = Long.MIN_VALUE / 2;
+
+    JobOutcomes(DispatchListener listener) {
+        this.listener = listener;
+    }
+
+    /** Reports the jobs whose completion has lost its value. */
+    void tick(Collection<JobState> jobs, long nowMs) {
+        if (nowMs - lastRoundAtMs < INTERVAL_MS) {
+            return;
+        }
+        lastRoundAtMs = nowMs;
+        for (JobState job : jobs) {
+            if (!job.status.isFinal() && !job.hasRemainingValue(nowMs)) {
+                report(job, JobOutcome.Result.EXPIRED, nowMs);
+            }
+        }
+    }
+
+    /** Reports a job that has reached a final state. */
+    void ended(JobState job, long nowMs) {
+        if (job.status == JobStatus.DONE) {
+            boolean inTime = nowMs <= job.deadlineMs();
+            JobOutcome.Result inValue = inTime ? JobOutcome.Result.IN_TIME : JobOutcome.Result.LATE;
+            report(job, job.hasRemainingValue(nowMs) ? inValue : JobOutcome.Result.EXPIRED, nowMs);
+            return;
+        }
+        report(job, job.status == JobStatus.CANCELLED ? JobOutcome.Result.CANCELLED : JobOutcome.Result.FAILED, nowMs);
+    }
+
+    private void report(JobState job, JobOutcome.Result result, long nowMs) {
+        if (job.outcomeReported || job.terms.isEmpty() || !hasObjective(job)) {
+            return;
+        }
+        job.outcomeReported = true;
+        listener.outcome(outcome(job, result, nowMs));
+    }
+
+    /** Returns whether the time until a job is done counts: neither long-running jobs nor scheduled ones end soon. */
+    private static boolean hasObjective(JobState job) {
+        if (job.request.schedule().isScheduled()) {
+            return false;
+        }
+        for (StepState step : job.steps) {
+            if (step.spec.hasTrait(Trait.RESTART_ALWAYS)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static JobOutcome outcome(JobState job, JobOutcome.Result result, long nowMs) {
+        long workMillicoreMs = 0;
+        long largestNeedMillicores = 0;
+        long longestWaitMs = 0;
+        Optional<TaskName> slowestTask = Optional.empty();
+        int tasks = 0;
+        int doneTasks = 0;
+        int repeatedRuns = 0;
+        for (StepState step : job.steps) {
+            long needMillicores = step.spec.need().processorsMillicores();
+            workMillicoreMs += step.spec.estimateMs() * needMillicores * step.tasks.size();
+            largestNeedMillicores = Math.max(largestNeedMillicores, needMillicores);
+            tasks += step.tasks.size();
+            doneTasks += step.done;
+            for (TaskState task : step.tasks) {
+                repeatedRuns += Math.max(0, task.run - 1);
+                boolean waits = step.ready && task.phase == TaskState.Phase.WAITING;
+                long waitMs = Math.max(task.longestWaitMs, waits ? nowMs - task.readySinceMs : 0);
+                if (waitMs > longestWaitMs) {
+                    longestWaitMs = waitMs;
+                    slowestTask = Optional.of(task.name);
+                }
+            }
+        }
+        return new JobOutcome(
+                job.request.id(),
+                job.request.queue(),
+                result,
+                nowMs - job.addedAtMs,
+                job.objectiveMs,
+                workMillicoreMs,
+                job.steps.size(),
+                tasks,
+                doneTasks,
+                repeatedRuns,
+                largestNeedMillicores,
+                longestWaitMs,
+                slowestTask);
+    }
+}
--- a/core/src/main/java/org/pollensill/dispatch/JobState.java
+++ b/core/src/main/java/org/pollensill/dispatch/JobState.java
@@ -50,6 +50,9 @@
     /** Whether the progress cannot be recorded for now, so that nothing of the job is started. */
     boolean setAside;
 
+    /** Whether it was reported how the job fared. */
+    boolean outcomeReported;
+
     /** The tasks of all steps; each stands at its ordinal. */
     private final List<TaskState> tasks = new ArrayList<>();
 
--- a/core/src/main/java/org/pollensill/dispatch/JobTable.java
+++ b/core/src/main/java/org/pollensill/dispatch/JobTable.java
@@ -57,11 +57,13 @@
     private final PendingChanges pendingChanges;
     private final DispatchListener listener;
     private final PlacementCounts placementCounts = new PlacementCounts();
+    private final JobOutcomes outcomes;
     private QueueCatalogue catalogue = new QueueCatalogue(0, List.of());
 
     JobTable(PendingChanges pendingChanges, DispatchListener listener) {
         this.pendingChanges = pendingChanges;
         this.listener = listener;
+        this.outcomes = new JobOutcomes(listener);
     }
 
     Collection<JobState> all() {
@@ -331,6 +333,12 @@
         job.finalAtMs = nowMs;
         pendingChanges.changed(job);
         listener.statusChanged(job.request.id(), status);
+        outcomes.ended(job, nowMs);
+    }
+
+    /** Reports the jobs whose completion has lost its value. */
+    void reportOutcomes(long nowMs) {
+        outcomes.tick(jobs.values(), nowMs);
     }
 
     void remove(JobState job) {
--- a/core/src/main/java/org/pollensill/dispatch/Preemptor.java
+++ b/core/src/main/java/org/pollensill/dispatch/Preemptor.java
@@ -18,11 +18,13 @@
     private final Fleet fleet;
     private final RunnerSelector runnerSelector;
     private final ReportHandler reportHandler;
+    private final DispatchListener listener;
 
-    Preemptor(Fleet fleet, RunnerSelector runnerSelector, ReportHandler reportHandler) {
+    Preemptor(Fleet fleet, RunnerSelector runnerSelector, ReportHandler reportHandler, DispatchListener listener) {
         this.fleet = fleet;
         this.runnerSelector = runnerSelector;
         this.reportHandler = reportHandler;
+        this.listener = listener;
     }
 
     /** A long-running task and the fraction of its processors that waiting tasks would use. */
@@ -44,6 +46,7 @@
             }
             TaskState task = victim.get().task();
             task.preempted = true;
+            listener.preempted(task.name, task.runner.id, nowMs - task.startedAtMs, waiting.name);
             task.runner.preemptedAtMs = nowMs;
             reportHandler.stop(task, Cause.PREEMPTED, nowMs);
             missingMillicores -= task.step.spec.need().processorsMillicores();
--- a/core/src/main/java/org/pollensill/dispatch/TaskState.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskState.java
@@ -69,6 +69,9 @@
     /** Time before which no runner is reserved for the task, since its last reservation expired. */
     long nextReservationAtMs;
 
+    /** Longest time for which the task could start and had no runner. */
+    long longestWaitMs;
+
     /** Whether the last run was preempted. */
     boolean preempted;
 
@@ -148,6 +151,7 @@
     }
 
     void placeOn(RunnerState chosen, long nowMs) {
+        longestWaitMs = Math.max(longestWaitMs, nowMs - readySinceMs);
         run++;
         phase = Phase.PLACED;
         stopping = false;
--- a/core/src/main/java/org/pollensill/dispatch/WaitExplainer.java
+++ b/core/src/main/java/org/pollensill/dispatch/WaitExplainer.java
@@ -84,6 +84,7 @@
             }
         }
         listener.waitingTasks(longRunningTasks, otherTasks);
+        listener.capacityBlocks(CapacityBlocks.measure(fleet.all(), jobs.ready(), nowMs));
         for (TaskState task : select(longRunning, other)) {
             task.step.explainedAtMs = nowMs;
             listener.waiting(explain(task, nowMs));
--- a/core/src/test/java/org/pollensill/dispatch/CountingListener.java
+++ b/core/src/test/java/org/pollensill/dispatch/CountingListener.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 import org.pollensill.job.JobStatus;
 import org.pollensill.job.TaskName;
@@ -15,6 +16,8 @@
     int waitingRounds;
     int waitingLongRunning;
     int waitingOther;
+    final List<JobOutcome> outcomes = new ArrayList<>();
+    Optional<CapacityBlocks> lastBlocks = Optional.empty();
     final List<WaitReport> waiting = new ArrayList<>();
     final List<TaskName> reserved = new ArrayList<>();
     final List<String> setAside = new ArrayList<>();
@@ -38,6 +41,19 @@
     @Override
     public void statusChanged(String job, JobStatus status) {}
 
+    @Override
+    public void outcome(JobOutcome outcome) {
+        outcomes.add(outcome);
+    }
+
+    @Override
+    public void preempted(TaskName task, String runner, long ranMs, TaskName beneficiary) {}
+
+    @Override
+    public void capacityBlocks(CapacityBlocks blocks) {
+        lastBlocks = Optional.of(blocks);
+    }
+
     @Override
     public void capacityReserved(TaskName task, String runner, long withoutRunMs) {
         reserved.add(task);
