--- a/core/src/test/java/org/pollensill/dispatch/FleetSimulation.java
+++ b/core/src/test/java/org/pollensill/dispatch/FleetSimulation.java
@@ -29,7 +29,7 @@
 import org.pollensill.runner.StartOrder;
 
 /**
- * A leader, its store and a fleet of runners in virtual time, with the delays of a calm day. Jobs have one step. It
+ * A leader, its store and a fleet of runners in virtual time, with the delays of a calm day. It
  * checks the promise to long-running tasks on the true state of the runners. Leases do not expire on runners.
  */
 final class FleetSimulation {
@@ -66,6 +66,11 @@
     final LongRunningPromise promise = new LongRunningPromise();
     final Random random;
     int preemptions;
+    final List<JobOutcome> outcomes = new ArrayList<>();
+    final List<Long> preemptedAfterMs = new ArrayList<>();
+    /** Time without a run of long-running tasks times their processors, from the beginning of their first run. */
+    long longRunningLostMillicoreMs;
+
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::number));
     private final Map<String, Host> hosts = new LinkedHashMap<>();
@@ -150,7 +155,7 @@
     }
 
     private StepSpec step(TaskName task) {
-        return jobs.get(task.jobId()).steps().get(0);
+        return jobs.get(task.jobId()).steps().get(task.step());
     }
 
     private boolean isLongRunning(TaskName task) {
@@ -172,6 +177,8 @@
 
     private void sample() {
         for (Map.Entry<TaskName, Long> waiting : waitingSinceMs.entrySet()) {
+            longRunningLostMillicoreMs += LongRunningPromise.SAMPLE_INTERVAL_MS
+                    * step(waiting.getKey()).need().processorsMillicores();
             promise.waiting(waiting.getKey(), nowMs, waiting.getValue(), capacityFor(waiting.getKey()));
         }
         after(LongRunningPromise.SAMPLE_INTERVAL_MS, this::sample);
@@ -234,6 +241,16 @@
             this.fencingToken = fencingToken;
             this.dispatcher =
                     Dispatcher.takeOver(fencingToken, nowMs, formerRenewalLimitMs, "", this, new CountingListener() {
+                        @Override
+                        public void outcome(JobOutcome outcome) {
+                            FleetSimulation.this.outcomes.add(outcome);
+                        }
+
+                        @Override
+                        public void preempted(TaskName task, String runner, long ranMs, TaskName beneficiary) {
+                            preemptedAfterMs.add(ranMs);
+                        }
+
                         @Override
                         public void lost(TaskName task, int run, String runner, Cause cause) {
                             preemptions += cause == Cause.PREEMPTED ? 1 : 0;
@@ -312,7 +329,8 @@
                 return;
             }
             for (Write write : batch.writes()) {
-                records.put(write.key(), write.value().orElseThrow());
+                write.value()
+                        .ifPresentOrElse(value -> records.put(write.key(), value), () -> records.remove(write.key()));
             }
             committing = false;
             dispatcher.committed(batch, nowMs);
