Free the room of several long-running tasks for a short one, and keep it for that task

What callers saw: on a fleet full of long-running tasks the largest jobs of a kind were served far less often than the others (SHORT).

Cause: Preemptor looked for one long-running task whose end makes room, so nothing was ever freed for a task that needs the room of two or more. What it freed went to whatever fitted first, often back to the preempted task, and the stops in progress for one step counted as room for all others.

Change: an eviction is chosen per runner and may stop several tasks, the ones that lose the fewest processors, in any of the three resources. Each waiting task has its own eviction; at most three tenths of a service's processors are preempted and not running again. A task that was placed again is not preempted for 2 s.

--- a/core/src/main/java/org/pollensill/dispatch/Preemptor.java
+++ b/core/src/main/java/org/pollensill/dispatch/Preemptor.java
@@ -1,6 +1,12 @@
 package org.pollensill.dispatch;
 
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.PriorityQueue;
 
 import org.pollensill.dispatch.DispatchListener.Cause;
 import org.pollensill.job.Trait;
@@ -8,107 +14,229 @@
 
 /**
  * Preempts long-running tasks in favour of short tasks when the fleet is full. A long-running task yields little value
- * per processor second; it waits until the short tasks have run.
+ * per processor second; it waits until the short tasks have run. A short task may need the capacity of several
+ * long-running tasks of one runner; that capacity is claimed for it until it starts.
  */
 final class Preemptor {
 
     /** Maximum fraction of a step's tasks that may be unavailable, for steps that set no limit of their own. */
     private static final double MAX_UNAVAILABLE_FRACTION = 0.34;
 
+    /** Maximum fraction of a service's processors whose long-running tasks are away because they were preempted. */
+    private static final double MAX_PREEMPTED_FRACTION = 0.3;
+
+    /** Time since its placement for which a long-running task is not preempted, since it would have run for nothing. */
+    static final long MIN_RUN_MS = 2_000;
+
+    /** Delay before another search, over all runners, for a step for which nothing can be preempted. */
+    private static final long RETRY_DELAY_MS = 100;
+
     private final Fleet fleet;
     private final RunnerSelector runnerSelector;
     private final ReportHandler reportHandler;
+    private final PreemptionClaims claims;
     private final DispatchListener listener;
+    /** Processors that may still be preempted, by service. */
+    private final Map<String, Long> budgetMillicores = new HashMap<>();
 
     Preemptor(Fleet fleet, RunnerSelector runnerSelector, ReportHandler reportHandler, DispatchListener listener) {
         this.fleet = fleet;
         this.runnerSelector = runnerSelector;
         this.reportHandler = reportHandler;
+        this.claims = new PreemptionClaims(runnerSelector);
         this.listener = listener;
     }
 
-    /** A long-running task and the fraction of its processors that waiting tasks would use. */
-    private record Victim(TaskState task, double usableFraction) {}
+    /**
+     * A way to make room on a runner.
+     *
+     * @param runner the runner
+     * @param victims the tasks to stop, empty where the stops in progress suffice
+     * @param lostMillicores processors of the victims
+     */
+    private record Eviction(RunnerState runner, List<TaskState> victims, long lostMillicores) {}
+
+    /** Begins a round: ends the claims that are of no use, and counts what is preempted and not running again. */
+    void beginRound(List<StepState> readySteps, long nowMs) {
+        claims.releaseInvalid(nowMs);
+        budgetMillicores.clear();
+        for (RunnerState runner : fleet.all()) {
+            if (runner.entry.isEmpty() || !runner.listed) {
+                continue;
+            }
+            String service = runner.entry.get().service();
+            budgetMillicores.merge(
+                    service, (long) (MAX_PREEMPTED_FRACTION * runner.capacity().processorsMillicores()), Long::sum);
+            for (TaskState task : runner.tasks.values()) {
+                if (task.stopping && task.preempted) {
+                    budgetMillicores.merge(service, -task.step.spec.need().processorsMillicores(), Long::sum);
+                }
+            }
+        }
+        for (StepState step : readySteps) {
+            if (!step.spec.hasTrait(Trait.RESTART_ALWAYS)) {
+                continue;
+            }
+            for (TaskState task : step.tasks) {
+                if (task.phase == TaskState.Phase.WAITING && task.preempted) {
+                    budgetMillicores.merge(step.job.service, -step.spec.need().processorsMillicores(), Long::sum);
+                }
+            }
+        }
+    }
+
+    /** Ends the claim of a task, if there is one. */
+    void releaseClaim(TaskState task) {
+        claims.release(task);
+    }
 
     /**
-     * Stops long-running tasks until the waiting tasks of a step fit, counting the stops that are in progress.
+     * Stops long-running tasks so that waiting tasks of a step fit, and claims the capacity for them.
      *
-     * @param waiting a task that fits on no runner
-     * @param count number of such tasks in its step
+     * @param waiting the tasks that fit on no runner and have no claim; they belong to one step
+     * @param rack the rack on which they must run, empty for any
      * @param nowMs the time
      */
-    void preempt(TaskState waiting, int count, long nowMs) {
-        long missingMillicores = count * waiting.step.spec.need().processorsMillicores() - pendingMillicores(waiting);
-        while (missingMillicores > 0) {
-            Optional<Victim> victim = selectVictim(waiting, nowMs);
-            if (victim.isEmpty()) {
+    void preempt(List<TaskState> waiting, Optional<String> rack, long nowMs) {
+        StepState step = waiting.get(0).step;
+        if (nowMs < step.nextPreemptionSearchAtMs) {
+            return;
+        }
+        PriorityQueue<Eviction> cheapest = new PriorityQueue<>(Comparator.comparingLong(Eviction::lostMillicores));
+        for (RunnerState runner : fleet.all()) {
+            if (rack.isEmpty()
+                    || runner.entry.isPresent() && runner.entry.get().rack().equals(rack.get())) {
+                evictionFor(waiting.get(0), runner, nowMs).ifPresent(cheapest::add);
+            }
+        }
+        for (TaskState task : waiting) {
+            Optional<Eviction> eviction = takeCheapest(task, cheapest, nowMs);
+            if (eviction.isEmpty()) {
+                step.nextPreemptionSearchAtMs = nowMs + RETRY_DELAY_MS;
                 return;
             }
-            TaskState task = victim.get().task();
-            task.preempted = true;
-            listener.preempted(task.name, task.runner.id, nowMs - task.startedAtMs, waiting.name);
-            task.runner.preemptedAtMs = nowMs;
-            reportHandler.stop(task, Cause.PREEMPTED, nowMs);
-            missingMillicores -= task.step.spec.need().processorsMillicores();
+            long lostMillicores = eviction.get().lostMillicores();
+            if (lostMillicores > 0 && budgetMillicores.getOrDefault(step.job.service, 0L) <= 0) {
+                step.nextPreemptionSearchAtMs = nowMs + RETRY_DELAY_MS;
+                return;
+            }
+            budgetMillicores.merge(step.job.service, -lostMillicores, Long::sum);
+            evict(eviction.get(), task, nowMs);
+            evictionFor(task, eviction.get().runner(), nowMs).ifPresent(cheapest::add);
         }
     }
 
-    /** Returns the processors that are freed by stops in progress. */
-    private long pendingMillicores(TaskState waiting) {
-        long pending = 0;
-        for (RunnerState runner : fleet.all()) {
-            for (TaskState task : runner.tasks.values()) {
-                if (task.stopping && isLongRunning(task) && task.step.job.service.equals(waiting.step.job.service)) {
-                    pending += task.step.spec.need().processorsMillicores();
-                }
+    /** Returns the cheapest eviction that is still possible after those before it. */
+    private Optional<Eviction> takeCheapest(TaskState task, PriorityQueue<Eviction> cheapest, long nowMs) {
+        while (!cheapest.isEmpty()) {
+            Eviction candidate = cheapest.poll();
+            Optional<Eviction> current = evictionFor(task, candidate.runner(), nowMs);
+            if (current.isEmpty()) {
+                continue;
+            }
+            if (current.get().lostMillicores() <= candidate.lostMillicores()) {
+                return current;
             }
+            cheapest.add(current.get());
         }
-        return pending;
+        return Optional.empty();
     }
 
-    private static boolean isLongRunning(TaskState task) {
-        return task.step.spec.hasTrait(Trait.RESTART_ALWAYS);
+    private void evict(Eviction eviction, TaskState beneficiary, long nowMs) {
+        for (TaskState victim : eviction.victims()) {
+            victim.preempted = true;
+            victim.runner.preemptedAtMs = nowMs;
+            listener.preempted(victim.name, victim.runner.id, nowMs - victim.startedAtMs, beneficiary.name);
+            reportHandler.stop(victim, Cause.PREEMPTED, nowMs);
+        }
+        claims.add(beneficiary, eviction.runner(), nowMs);
     }
 
-    private Optional<Victim> selectVictim(TaskState waiting, long nowMs) {
-        Victim best = null;
-        for (RunnerState runner : fleet.all()) {
-            // Capacity that is freed on a reserved runner would not go to the waiting task.
-            if (runner.reservedFor != null || !runnerSelector.isEligible(waiting, runner, nowMs)) {
-                continue;
+    /** Returns the cheapest way to make room for a task on a runner, empty where there is none. */
+    private Optional<Eviction> evictionFor(TaskState waiting, RunnerState runner, long nowMs) {
+        // Capacity that is freed on a reserved runner would not go to the waiting task, and a claim that has expired
+        // shows a runner that does not carry out its stops.
+        boolean withheld = runner.reservedFor != null || nowMs < runner.claimPauseEndMs;
+        if (withheld || !runnerSelector.isEligible(waiting, runner, nowMs)) {
+            return Optional.empty();
+        }
+        Resources capacity = runner.capacity();
+        Resources kept = runner.reservedResources
+                .minus(runner.stoppingResources())
+                .plus(runner.claimedResources)
+                .plus(waiting.step.spec.reservedResources());
+        // An amount that exceeds the capacity is missing in that dimension.
+        Resources missing = kept.minus(capacity);
+        if (missing.equals(Resources.NONE)) {
+            return Optional.of(new Eviction(runner, List.of(), 0));
+        }
+        if (!missing.fitsIn(runner.longRunningResources)) {
+            return Optional.empty();
+        }
+        List<TaskState> candidates = new ArrayList<>();
+        for (TaskState task : runner.tasks.values()) {
+            if (isPreemptible(task, waiting, nowMs)) {
+                candidates.add(task);
             }
-            for (TaskState task : runner.tasks.values()) {
-                if (!isPreemptible(task, waiting, nowMs)) {
+        }
+        return selectVictims(runner, candidates, missing);
+    }
+
+    /** Selects the smallest task that leaves enough room, or else the largest one and so on. */
+    private static Optional<Eviction> selectVictims(RunnerState runner, List<TaskState> candidates, Resources missing) {
+        List<TaskState> victims = new ArrayList<>();
+        Resources rest = missing;
+        long lostMillicores = 0;
+        while (!rest.equals(Resources.NONE)) {
+            TaskState next = null;
+            boolean nextSuffices = false;
+            for (TaskState candidate : candidates) {
+                if (!toleratesEviction(candidate, victims)) {
                     continue;
                 }
-                double usableFraction = usableFraction(runner, task.step.spec.need(), waiting.step.spec.need());
-                if (usableFraction > 0 && (best == null || usableFraction > best.usableFraction())) {
-                    best = new Victim(task, usableFraction);
+                boolean suffices = rest.fitsIn(candidate.step.spec.reservedResources());
+                boolean smaller = next == null || size(candidate) < size(next);
+                if (next == null || suffices && (!nextSuffices || smaller) || !suffices && !nextSuffices && !smaller) {
+                    next = candidate;
+                    nextSuffices = suffices;
                 }
             }
+            if (next == null) {
+                return Optional.empty();
+            }
+            candidates.remove(next);
+            victims.add(next);
+            lostMillicores += size(next);
+            rest = rest.minus(next.step.spec.reservedResources());
         }
-        return Optional.ofNullable(best);
+        return Optional.of(new Eviction(runner, victims, lostMillicores));
+    }
+
+    private static long size(TaskState task) {
+        return task.step.spec.need().processorsMillicores();
+    }
+
+    /** Returns whether the step of a task may miss it, besides the tasks that are already chosen. */
+    private static boolean toleratesEviction(TaskState task, List<TaskState> chosen) {
+        int chosenOfStep = 0;
+        for (TaskState other : chosen) {
+            chosenOfStep += other.step == task.step ? 1 : 0;
+        }
+        return task.step.tolerableEvictions(MAX_UNAVAILABLE_FRACTION) > chosenOfStep;
     }
 
     private static boolean isPreemptible(TaskState task, TaskState waiting, long nowMs) {
-        if (!isLongRunning(task) || task.stopping || task.phase != TaskState.Phase.RUNNING) {
+        if (!task.step.spec.hasTrait(Trait.RESTART_ALWAYS) || task.stopping || task.phase != TaskState.Phase.RUNNING) {
             return false;
         }
         // The other members of a gang cannot go on alone, and the gang restarts only as a whole.
         if (nowMs < task.preemptibleFromMs || task.step.spec.hasTrait(Trait.GANG)) {
             return false;
         }
-        JobState job = task.step.job;
-        if (job.status.isFinal() || job.terms.isEmpty() || job.priority() < waiting.step.job.priority()) {
+        if (task.run > 1 && nowMs - task.startedAtMs < MIN_RUN_MS) {
             return false;
         }
-        return task.step.toleratesEviction(MAX_UNAVAILABLE_FRACTION);
-    }
-
-    /** Returns the fraction of the freed processors that additional tasks would use. */
-    private static double usableFraction(RunnerState runner, Resources freed, Resources need) {
-        Resources free = runner.capacity().minus(runner.reservedResources);
-        long additional = need.fitCount(free.plus(freed)) - need.fitCount(free);
-        return (double) additional * need.processorsMillicores() / Math.max(1, freed.processorsMillicores());
+        JobState job = task.step.job;
+        return !job.status.isFinal() && job.terms.isPresent() && job.priority() >= waiting.step.job.priority();
     }
 }
--- a/core/src/main/java/org/pollensill/dispatch/RunnerSelector.java
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerSelector.java
@@ -91,7 +91,7 @@
         if (!countedAfter.fitsIn(runner.capacity())) {
             return shortage(countedAfter, runner.capacity()).found();
         }
-        if (usesReservedCapacity(task, runner, countedAfter)) {
+        if (usesWithheldCapacity(task, runner, countedAfter)) {
             return PlacementObstacle.RESERVED.found();
         }
         if (!spec.hasTrait(Trait.FILLS)) {
@@ -102,17 +102,29 @@
         return idle && !exceedsHeadroom(task, runner, nowMs) ? Optional.empty() : PlacementObstacle.HEADROOM.found();
     }
 
-    /** Returns whether a task would use capacity that is reserved for another one. */
-    private static boolean usesReservedCapacity(TaskState task, RunnerState runner, Resources countedAfter) {
-        if (runner.reservedFor == null || runner.reservedFor == task) {
+    /** Returns whether a task would use capacity that is reserved or claimed for another one. */
+    private static boolean usesWithheldCapacity(TaskState task, RunnerState runner, Resources countedAfter) {
+        Resources withheld = withheldFrom(task, runner);
+        if (withheld.equals(Resources.NONE)) {
             return false;
         }
         Resources need = task.step.spec.reservedResources();
-        Resources withReserved = countedAfter.plus(runner.reservedFor.step.spec.reservedResources());
+        Resources withWithheld = countedAfter.plus(withheld);
         Resources capacity = runner.capacity();
-        return need.processorsMillicores() > 0 && withReserved.processorsMillicores() > capacity.processorsMillicores()
-                || need.memoryBytes() > 0 && withReserved.memoryBytes() > capacity.memoryBytes()
-                || need.accelerators() > 0 && withReserved.accelerators() > capacity.accelerators();
+        return need.processorsMillicores() > 0 && withWithheld.processorsMillicores() > capacity.processorsMillicores()
+                || need.memoryBytes() > 0 && withWithheld.memoryBytes() > capacity.memoryBytes()
+                || need.accelerators() > 0 && withWithheld.accelerators() > capacity.accelerators();
+    }
+
+    /** Returns the capacity of a runner that is withheld for other tasks than the given one. */
+    private static Resources withheldFrom(TaskState task, RunnerState runner) {
+        Resources withheld = runner.claimedResources;
+        if (task.claimedRunner == runner) {
+            withheld = withheld.minus(task.step.spec.reservedResources());
+        }
+        return runner.reservedFor == null || runner.reservedFor == task
+                ? withheld
+                : withheld.plus(runner.reservedFor.step.spec.reservedResources());
     }
 
     /** Returns the first resource of an amount that exceeds a capacity in which it does not fit. */
@@ -162,8 +174,14 @@
             }
             int maxPerRunner = task.step.spec.placement().maxPerRunner();
             boolean secondFits = maxPerRunner == 0 || task.step.countOn(runner) + 1 < maxPerRunner;
-            slots +=
-                    secondFits && runner.reservedResources.plus(need).plus(need).fitsIn(runner.capacity()) ? 2 : 1;
+            slots += secondFits
+                            && runner.reservedResources
+                                    .plus(runner.claimedResources)
+                                    .plus(need)
+                                    .plus(need)
+                                    .fitsIn(runner.capacity())
+                    ? 2
+                    : 1;
             if (slots >= 2) {
                 return true;
             }
@@ -187,7 +205,7 @@
         if (!fits || !runner.accepts(nowMs) || runner.isProbing(nowMs)) {
             return 0;
         }
-        Resources taken = runner.reservedResources;
+        Resources taken = runner.reservedResources.plus(runner.claimedResources);
         if (runner.reservedFor != null && runner.reservedFor.step != step) {
             taken = taken.plus(runner.reservedFor.step.spec.reservedResources());
         }
--- a/core/src/main/java/org/pollensill/dispatch/RunnerState.java
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerState.java
@@ -38,6 +38,12 @@
     /** Time of the last preemption on the runner; the freed capacity is meant for the tasks that caused it. */
     long preemptedAtMs = Long.MIN_VALUE / 2;
 
+    /** Capacity that is withheld for waiting tasks for which it is being freed. */
+    Resources claimedResources = Resources.NONE;
+
+    /** Time before which nothing is claimed, since a claim has expired. */
+    long claimPauseEndMs;
+
     /** The overdue task for which the free capacity is reserved, null where there is none. */
     TaskState reservedFor;
 
@@ -211,6 +217,17 @@
                 && nowMs - probeTask.startedAtMs < RunnerHealth.PROBE_LIMIT_MS;
     }
 
+    /** Returns the resources of the tasks that are being stopped. */
+    Resources stoppingResources() {
+        Resources stopping = Resources.NONE;
+        for (TaskState task : tasks.values()) {
+            if (task.stopping) {
+                stopping = stopping.plus(task.step.spec.reservedResources());
+            }
+        }
+        return stopping;
+    }
+
     /** Returns the processors that neither reserved nor best-effort tasks are expected to use. */
     long idleMillicores() {
         return capacity().processorsMillicores()
--- a/core/src/main/java/org/pollensill/dispatch/StepState.java
+++ b/core/src/main/java/org/pollensill/dispatch/StepState.java
@@ -25,6 +25,9 @@
     /** Time before which no runner is sought for overdue tasks of the step, since none was found. */
     long nextOverdueSearchAtMs;
 
+    /** Time before which no tasks are sought that could be preempted for the step. */
+    long nextPreemptionSearchAtMs;
+
     /** Number of placements of tasks of this step by this leader. */
     long placements;
 
@@ -84,6 +87,11 @@
 
     /** Returns whether one more task may be stopped, by the step's own limit or else by a fraction of its tasks. */
     boolean toleratesEviction(double maxMissingFraction) {
+        return tolerableEvictions(maxMissingFraction) > 0;
+    }
+
+    /** Returns how many more tasks may be stopped, by the step's own limit or else by a fraction of its tasks. */
+    int tolerableEvictions(double maxMissingFraction) {
         int bound = spec.serviceLevel().maxUnavailable();
         int maxMissing = bound > 0 ? bound : (int) Math.max(1, maxMissingFraction * tasks.size());
         int missing = 0;
@@ -92,7 +100,7 @@
                 missing++;
             }
         }
-        return missing < maxMissing;
+        return Math.max(0, maxMissing - missing);
     }
 
     /** Returns the number of tasks of this step on a runner. */
--- a/core/src/main/java/org/pollensill/dispatch/TaskScheduler.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskScheduler.java
@@ -53,6 +53,7 @@
 
     void place(long nowMs) {
         List<StepState> steps = jobs.readySteps(nowMs);
+        preemptor.beginRound(steps, nowMs);
         reservations.placeOverdue(steps, nowMs, new OverduePlacement(nowMs));
         for (StepState step : steps) {
             if (step.spec.hasTrait(Trait.GANG)) {
@@ -65,37 +66,43 @@
 
     private void placeTasks(StepState step, long nowMs) {
         Optional<String> rack = requiredRack(step);
-        int unplaced = 0;
-        TaskState firstUnplaced = null;
-        boolean placed = false;
+        List<TaskState> unclaimed = new ArrayList<>();
+        List<TaskState> claimed = new ArrayList<>();
         for (TaskState task : step.tasks) {
             if (task.phase != TaskState.Phase.WAITING || nowMs < task.notBeforeMs) {
                 continue;
             }
-            if (firstUnplaced != null) {
-                unplaced++;
-                continue;
+            if (task.claimedRunner == null) {
+                unclaimed.add(task);
+            } else if (runnerSelector.obstacle(task, task.claimedRunner, nowMs).isEmpty()) {
+                assign(task, task.claimedRunner, nowMs);
+            } else {
+                claimed.add(task);
             }
+        }
+        // Tasks with a claim come last: a free slot elsewhere spares another task a preemption.
+        List<TaskState> waiting = new ArrayList<>(unclaimed);
+        waiting.addAll(claimed);
+        int placed = 0;
+        for (TaskState task : waiting) {
             Optional<RunnerState> runner = choose(task, rack, nowMs);
             if (runner.isEmpty()) {
                 step.slotFreeSinceMs = 0;
-                firstUnplaced = task;
-                unplaced = 1;
-                continue;
+                break;
             }
             if (step.spec.hasTrait(Trait.RESTART_ALWAYS) && reservesSlotForShortTasks(task, nowMs)) {
                 return;
             }
             assign(task, runner.get(), nowMs);
-            placed = true;
+            placed++;
         }
-        if (placed) {
+        if (placed > 0) {
             step.slotFreeSinceMs = 0;
         }
-        if (firstUnplaced != null && step.runsToCompletion() && step.job.hasRemainingValue(nowMs)) {
+        if (placed < waiting.size() && step.runsToCompletion() && step.job.hasRemainingValue(nowMs)) {
             shortTaskUnplacedAtMs = nowMs;
-            if (!reservations.isExhausted()) {
-                preemptor.preempt(firstUnplaced, unplaced, nowMs);
+            if (placed < unclaimed.size() && !reservations.isExhausted()) {
+                preemptor.preempt(unclaimed.subList(placed, unclaimed.size()), rack, nowMs);
             }
         }
     }
@@ -160,6 +167,7 @@
 
     private void assign(TaskState task, RunnerState runner, long nowMs) {
         reservations.release(task);
+        preemptor.releaseClaim(task);
         if (CapacityReservations.isOverdue(task, nowMs)) {
             task.preemptibleFromMs = nowMs + MIN_RUN_AFTER_OVERDUE_MS;
         }
--- a/core/src/main/java/org/pollensill/dispatch/TaskState.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskState.java
@@ -72,6 +72,9 @@
     /** Longest time for which the task could start and had no runner. */
     long longestWaitMs;
 
+    /** The runner on which capacity is withheld for the waiting task, null where there is none. */
+    RunnerState claimedRunner;
+
     /** Whether the last run was preempted. */
     boolean preempted;
 
