Claim no more room on a runner than the limit of a step per runner allows

Tasks that must run apart could claim the same runner twice; the second claim was never fulfilled and its preemption served nobody. A step that prefers one rack falls back to any rack, as its placement does. PreemptionClaimsTest#shouldMakeRoomOnDifferentRunnersForTasksThatMustRunApart fails without the check (both stops on one runner).

--- a/core/src/main/java/org/pollensill/dispatch/Preemptor.java
+++ b/core/src/main/java/org/pollensill/dispatch/Preemptor.java
@@ -94,7 +94,7 @@
      * Stops long-running tasks so that waiting tasks of a step fit, and claims the capacity for them.
      *
      * @param waiting the tasks that fit on no runner and have no claim; they belong to one step
-     * @param rack the rack on which they must run, empty for any
+     * @param rack the rack on which they should run, empty for any
      * @param nowMs the time
      */
     void preempt(List<TaskState> waiting, Optional<String> rack, long nowMs) {
@@ -102,12 +102,9 @@
         if (nowMs < step.nextPreemptionSearchAtMs) {
             return;
         }
-        PriorityQueue<Eviction> cheapest = new PriorityQueue<>(Comparator.comparingLong(Eviction::lostMillicores));
-        for (RunnerState runner : fleet.all()) {
-            if (rack.isEmpty()
-                    || runner.entry.isPresent() && runner.entry.get().rack().equals(rack.get())) {
-                evictionFor(waiting.get(0), runner, nowMs).ifPresent(cheapest::add);
-            }
+        PriorityQueue<Eviction> cheapest = evictions(waiting.get(0), rack, nowMs);
+        if (cheapest.isEmpty() && rack.isPresent()) {
+            cheapest = evictions(waiting.get(0), Optional.empty(), nowMs);
         }
         for (TaskState task : waiting) {
             Optional<Eviction> eviction = takeCheapest(task, cheapest, nowMs);
@@ -126,6 +123,21 @@
         }
     }
 
+    /** Returns the ways to make room for a task, one a runner, cheapest first. */
+    private PriorityQueue<Eviction> evictions(TaskState waiting, Optional<String> rack, long nowMs) {
+        PriorityQueue<Eviction> cheapest = new PriorityQueue<>(Comparator.comparingLong(Eviction::lostMillicores));
+        for (RunnerState runner : fleet.all()) {
+            boolean onRack = rack.isEmpty()
+                    || runner.entry
+                            .map(entry -> entry.rack().equals(rack.get()))
+                            .orElse(false);
+            if (onRack) {
+                evictionFor(waiting, runner, nowMs).ifPresent(cheapest::add);
+            }
+        }
+        return cheapest;
+    }
+
     /** Returns the cheapest eviction that is still possible after those before it. */
     private Optional<Eviction> takeCheapest(TaskState task, PriorityQueue<Eviction> cheapest, long nowMs) {
         while (!cheapest.isEmpty()) {
@@ -157,7 +169,7 @@
         // Capacity that is freed on a reserved runner would not go to the waiting task, and a claim that has expired
         // shows a runner that does not carry out its stops.
         boolean withheld = runner.reservedFor != null || nowMs < runner.claimPauseEndMs;
-        if (withheld || !runnerSelector.isEligible(waiting, runner, nowMs)) {
+        if (withheld || !runnerSelector.isEligible(waiting, runner, nowMs) || claimsReachLimit(waiting.step, runner)) {
             return Optional.empty();
         }
         Resources capacity = runner.capacity();
@@ -182,6 +194,12 @@
         return selectVictims(runner, candidates, missing);
     }
 
+    /** Returns whether a runner would have the maximum number of tasks of a step once its claims are fulfilled. */
+    private static boolean claimsReachLimit(StepState step, RunnerState runner) {
+        int maxPerRunner = step.spec.placement().maxPerRunner();
+        return maxPerRunner > 0 && step.countOn(runner) + step.countClaimsOn(runner) >= maxPerRunner;
+    }
+
     /** Selects the smallest task that leaves enough room, or else the largest one and so on. */
     private static Optional<Eviction> selectVictims(RunnerState runner, List<TaskState> candidates, Resources missing) {
         List<TaskState> victims = new ArrayList<>();
--- a/core/src/main/java/org/pollensill/dispatch/StepState.java
+++ b/core/src/main/java/org/pollensill/dispatch/StepState.java
@@ -113,4 +113,15 @@
         }
         return count;
     }
+
+    /** Returns the number of tasks of this step for which capacity of a runner is withheld. */
+    int countClaimsOn(RunnerState runner) {
+        int count = 0;
+        for (TaskState task : tasks) {
+            if (task.claimedRunner == runner) {
+                count++;
+            }
+        }
+        return count;
+    }
 }
--- a/core/src/test/java/org/pollensill/dispatch/PreemptionClaimsTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/PreemptionClaimsTest.java
@@ -105,6 +105,19 @@
             assertTrue(fleet.isRunning(LARGE_TASK));
         }
 
+        // A second claim on the runner could not be fulfilled.
+        @Test
+        void shouldMakeRoomOnDifferentRunnersForTasksThatMustRunApart() {
+            fill(3, Samples.NEED);
+            PlacementRule apart = new PlacementRule(Optional.empty(), Optional.empty(), 1);
+            StepSpec pair = new StepSpec(
+                    2, Samples.NEED, 1_000, List.of(), EnumSet.noneOf(Trait.class), apart, ServiceLevel.NONE);
+            fleet.addJob(SMALL_JOB, pair, T0 + 20);
+            fleet.commit(T0 + 20);
+            assertEquals(2, orders.stops.size());
+            assertEquals(2, runnersWithStops());
+        }
+
         @Test
         void shouldStopNothingForATaskThatFitsOnNoEmptyRunner() {
             fill(3, Samples.NEED);
