Free room for gangs that run to completion as well

The same cause on a related path: a gang never caused a preemption, so on a full fleet it waited until its members fitted by chance. Its members claim room one by one, unless there can be no room for all of them; claims are kept while the gang is placed on trial. PreemptionClaimsTest.Gangs failed before (no stop).

--- a/core/src/main/java/org/pollensill/dispatch/PreemptionClaims.java
+++ b/core/src/main/java/org/pollensill/dispatch/PreemptionClaims.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Withholds capacity of runners for the waiting tasks for which it is being freed. Without a claim the room that one
@@ -15,7 +16,7 @@
     static final long MAX_CLAIM_MS = 1_500;
 
     /** A runner with capacity that is withheld for a task, and since when. */
-    private record Claim(RunnerState runner, long sinceMs) {}
+    record Claim(RunnerState runner, long sinceMs) {}
 
     private final RunnerSelector runnerSelector;
     private final Map<TaskState, Claim> claims = new LinkedHashMap<>();
@@ -26,20 +27,26 @@
 
     /** Withholds what a task needs on a runner. */
     void add(TaskState task, RunnerState runner, long nowMs) {
-        claims.put(task, new Claim(runner, nowMs));
-        task.claimedRunner = runner;
-        runner.claimedResources = runner.claimedResources.plus(task.step.spec.reservedResources());
+        restore(task, new Claim(runner, nowMs));
     }
 
-    /** Ends the claim of a task, if there is one. */
-    void release(TaskState task) {
+    /** Withholds again what an earlier claim withheld. */
+    void restore(TaskState task, Claim claim) {
+        claims.put(task, claim);
+        task.claimedRunner = claim.runner();
+        claim.runner().claimedResources = claim.runner().claimedResources.plus(task.step.spec.reservedResources());
+    }
+
+    /** Ends the claim of a task and returns it, empty where there was none. */
+    Optional<Claim> release(TaskState task) {
         Claim claim = claims.remove(task);
         if (claim == null) {
-            return;
+            return Optional.empty();
         }
         task.claimedRunner = null;
         RunnerState runner = claim.runner();
         runner.claimedResources = runner.claimedResources.minus(task.step.spec.reservedResources());
+        return Optional.of(claim);
     }
 
     /** Ends the claims of tasks that no longer wait, and those that are of no use or too old. */
--- a/core/src/main/java/org/pollensill/dispatch/Preemptor.java
+++ b/core/src/main/java/org/pollensill/dispatch/Preemptor.java
@@ -85,9 +85,8 @@
         }
     }
 
-    /** Ends the claim of a task, if there is one. */
-    void releaseClaim(TaskState task) {
-        claims.release(task);
+    PreemptionClaims claims() {
+        return claims;
     }
 
     /**
@@ -123,6 +122,38 @@
         }
     }
 
+    /** Does the same for all members of a gang, unless there can be no room for all of them. */
+    void preemptForGang(StepState gang, Optional<String> rack, long nowMs) {
+        List<TaskState> unclaimed = new ArrayList<>();
+        for (TaskState member : gang.tasks) {
+            if (member.claimedRunner == null) {
+                unclaimed.add(member);
+            }
+        }
+        if (!unclaimed.isEmpty() && canMakeRoom(unclaimed)) {
+            preempt(unclaimed, rack, nowMs);
+        }
+    }
+
+    /** Returns whether as many tasks of a step would fit if long-running tasks were stopped within the budget. */
+    private boolean canMakeRoom(List<TaskState> waiting) {
+        StepState step = waiting.get(0).step;
+        Resources need = step.spec.reservedResources();
+        long fitting = 0;
+        long freeMillicores = 0;
+        for (RunnerState runner : fleet.all()) {
+            if (runner.entry.isEmpty() || !RunnerSelector.matches(step, runner)) {
+                continue;
+            }
+            Resources kept =
+                    runner.reservedResources.minus(runner.longRunningResources).plus(runner.claimedResources);
+            fitting += Math.min(waiting.size(), need.fitCount(runner.capacity().minus(kept)));
+            freeMillicores += Math.max(0, runner.freeMillicores());
+        }
+        long lackingMillicores = waiting.size() * need.processorsMillicores() - freeMillicores;
+        return fitting >= waiting.size() && lackingMillicores <= budgetMillicores.getOrDefault(step.job.service, 0L);
+    }
+
     /** Returns the ways to make room for a task, one a runner, cheapest first. */
     private PriorityQueue<Eviction> evictions(TaskState waiting, Optional<String> rack, long nowMs) {
         PriorityQueue<Eviction> cheapest = new PriorityQueue<>(Comparator.comparingLong(Eviction::lostMillicores));
--- a/core/src/main/java/org/pollensill/dispatch/TaskScheduler.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskScheduler.java
@@ -1,7 +1,6 @@
 package org.pollensill.dispatch;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -167,7 +166,7 @@
 
     private void assign(TaskState task, RunnerState runner, long nowMs) {
         reservations.release(task);
-        preemptor.releaseClaim(task);
+        preemptor.claims().release(task);
         if (CapacityReservations.isOverdue(task, nowMs)) {
             task.preemptibleFromMs = nowMs + MIN_RUN_AFTER_OVERDUE_MS;
         }
@@ -215,8 +214,13 @@
             run = Math.max(run, task.run);
         }
         Optional<String> rack = requiredRack(step);
-        if (!placeAll(step, rack, run, nowMs) && rack.isPresent()) {
-            placeAll(step, Optional.empty(), run, nowMs);
+        boolean placed =
+                placeAll(step, rack, run, nowMs) || rack.isPresent() && placeAll(step, Optional.empty(), run, nowMs);
+        if (!placed && step.runsToCompletion() && step.job.hasRemainingValue(nowMs)) {
+            shortTaskUnplacedAtMs = nowMs;
+            if (!reservations.isExhausted()) {
+                preemptor.preemptForGang(step, rack, nowMs);
+            }
         }
     }
 
@@ -232,18 +236,29 @@
         return furthest.checkpoint;
     }
 
+    /** Returns the runner claimed for a member of a gang if it fits there, or else any on a rack. */
+    private Optional<RunnerState> chooseForMember(TaskState member, Optional<String> rack, long nowMs) {
+        RunnerState claimed = member.claimedRunner;
+        if (claimed != null && runnerSelector.obstacle(member, claimed, nowMs).isEmpty()) {
+            return Optional.of(claimed);
+        }
+        return runnerSelector.choose(member, fleet.all(), rack, nowMs);
+    }
+
     private boolean placeAll(StepState step, Optional<String> rack, int run, long nowMs) {
-        Collection<RunnerState> runners = fleet.all();
         List<TaskState> placed = new ArrayList<>();
+        Map<TaskState, PreemptionClaims.Claim> fulfilled = new LinkedHashMap<>();
         for (TaskState task : step.tasks) {
-            Optional<RunnerState> runner = runnerSelector.choose(task, runners, rack, nowMs);
+            Optional<RunnerState> runner = chooseForMember(task, rack, nowMs);
             if (runner.isEmpty()) {
                 for (TaskState member : placed) {
                     member.release();
                     member.run = run;
                 }
+                fulfilled.forEach(preemptor.claims()::restore);
                 return false;
             }
+            preemptor.claims().release(task).ifPresent(claim -> fulfilled.put(task, claim));
             task.run = run;
             task.placeOn(runner.get(), nowMs);
             placed.add(task);
--- a/core/src/test/java/org/pollensill/dispatch/PreemptionClaimsTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/PreemptionClaimsTest.java
@@ -197,4 +197,28 @@
             assertEquals(SMALL_TASK, orders.starts.get(0).order().task());
         }
     }
+
+    @Nested
+    class Gangs {
+
+        @Test
+        void shouldMakeRoomForAllMembersOfAGang() {
+            fill(10, Samples.NEED);
+            fleet.addJob(LARGE_JOB, step(3, LARGE, Trait.GANG), T0 + 20);
+            fleet.commit(T0 + 20);
+            assertEquals(9, orders.stops.size());
+            fleet.carryOut(T0 + 50);
+            fleet.report(T0 + 60);
+            fleet.plan(T0 + 70);
+            assertEquals(List.of(), fleet.waitingTasks(LARGE_JOB));
+        }
+
+        @Test
+        void shouldStopNothingForAGangThatFitsOnNoEmptyFleet() {
+            fill(3, Samples.NEED);
+            fleet.addJob(LARGE_JOB, step(4, LARGE, Trait.GANG), T0 + 20);
+            fleet.commit(T0 + 20);
+            assertEquals(List.of(), orders.stops);
+        }
+    }
 }
