Let a successor place first what ran under a former leader and does not run

Cause: the bound on overtaking, 5 s without a run, was counted anew by each leader, so a wait across a takeover could last twice as long and the time without a leader more.

Change: long-running tasks that were placed before count as overdue in a new leader until a report shows that they run.

--- a/core/src/main/java/org/pollensill/dispatch/JobTable.java
+++ b/core/src/main/java/org/pollensill/dispatch/JobTable.java
@@ -148,6 +148,9 @@
         for (StepState step : job.steps) {
             makeReadyIfUnblocked(step, nowMs);
         }
+        if (record.isPresent()) {
+            inheritWaits(job, nowMs);
+        }
         finishIfComplete(job, nowMs);
     }
 
@@ -195,6 +198,24 @@
         }
     }
 
+    /**
+     * Lets the long-running tasks that were placed before count as overdue until a report shows that they run: how long
+     * they have waited under former leaders is not known, and those may have let others overtake them for as long as is
+     * allowed.
+     */
+    private static void inheritWaits(JobState job, long nowMs) {
+        for (StepState step : job.steps) {
+            if (!step.spec.hasTrait(Trait.RESTART_ALWAYS)) {
+                continue;
+            }
+            for (TaskState task : step.tasks) {
+                if (task.run > 0) {
+                    task.withoutRunSinceMs = nowMs - CapacityReservations.MAX_OVERTAKEN_MS;
+                }
+            }
+        }
+    }
+
     /** Returns whether each task that is recorded lies in row 0 or in a further row that is stored. */
     private static boolean rangesComplete(JobState job, JobRecord record) {
         for (TaskRecord stored : record.tasks()) {
--- a/core/src/test/java/org/pollensill/dispatch/FleetSimulation.java
+++ b/core/src/test/java/org/pollensill/dispatch/FleetSimulation.java
@@ -80,6 +80,7 @@
     private QueueCatalogue catalogue;
     private Leader leader;
     private double failureProbability;
+    private int maxStopMs;
     private long nowMs = 1_000;
     private long eventNumber;
 
@@ -129,6 +130,11 @@
         failureProbability = probability;
     }
 
+    /** Sets the maximum time that a run takes to end after its stop order. */
+    void setMaxStopMs(int stopMs) {
+        maxStopMs = stopMs;
+    }
+
     /** Lets the next runs that start on a runner fail; their jobs are at fault. */
     void failNextRuns(String runner, int count) {
         hosts.get(runner).failuresDue = count;
@@ -383,7 +389,7 @@
             }
             afterInTerm(between(2, 20), () -> {
                 host.highestRun.merge(task, run, Math::max);
-                endRun(host, task, run, EndKind.STOPPED);
+                FleetSimulation.this.after(between(0, maxStopMs), () -> endRun(host, task, run, EndKind.STOPPED));
                 afterInTerm(
                         between(1, 5),
                         () -> dispatcher.onStop(task, run, to.id(), answer(OrderOutcome.ACCEPTED), nowMs));
--- a/core/src/test/java/org/pollensill/dispatch/FullFleetDay.java
+++ b/core/src/test/java/org/pollensill/dispatch/FullFleetDay.java
@@ -31,6 +31,11 @@
     private static final long BURST_END_MS = 18_000;
     private static final double BURST_FACTOR = 2.0;
 
+    private static final long FIRST_TAKEOVER_MS = 12_000;
+    private static final long TAKEOVER_INTERVAL_MS = 6_500;
+    private static final long TAKEOVER_GAP_MS = 400;
+
+    private static final int MAX_STOP_MS = 400;
     private static final double JOBS_PER_S = 3.6;
     private static final double SECOND_STEP_PROBABILITY = 0.5;
     private static final double MEAN_TASKS = 7.7;
@@ -43,13 +48,30 @@
     private final Random random;
     private int count;
 
-    private FullFleetDay(FleetSimulation simulation) {
+    private FullFleetDay(FleetSimulation simulation, long seed) {
         this.simulation = simulation;
-        this.random = simulation.random;
+        // A generator of its own: the jobs do not depend on what the leader does.
+        this.random = new Random(seed);
     }
 
     /** Plays a day to its end. */
     static FleetSimulation play(long seed) {
+        FleetSimulation simulation = begin(seed);
+        simulation.runUntil(END_MS);
+        return simulation;
+    }
+
+    /** Plays a day on which the leader changes several times under load. */
+    static FleetSimulation playWithTakeovers(long seed) {
+        FleetSimulation simulation = begin(seed);
+        for (long atMs = FIRST_TAKEOVER_MS; atMs < TRAFFIC_END_MS; atMs += TAKEOVER_INTERVAL_MS) {
+            simulation.after(atMs - simulation.nowMs(), () -> simulation.takeOver(TAKEOVER_GAP_MS));
+        }
+        simulation.runUntil(END_MS);
+        return simulation;
+    }
+
+    private static FleetSimulation begin(long seed) {
         List<RunnerEntry> entries = new ArrayList<>();
         for (int i = 0; i < RUNNERS; i++) {
             long millicores = i % 3 == 0 ? 48_000 : 32_000;
@@ -59,9 +81,9 @@
         }
         QueueCatalogue catalogue = new QueueCatalogue(1, List.of(queue("short"), queue("long-running")));
         FleetSimulation simulation = new FleetSimulation(seed, catalogue, entries);
+        simulation.setMaxStopMs(MAX_STOP_MS);
         simulation.runUntil(2_000);
-        new FullFleetDay(simulation).submitAll();
-        simulation.runUntil(END_MS);
+        new FullFleetDay(simulation, seed).submitAll();
         return simulation;
     }
 
--- a/core/src/test/java/org/pollensill/dispatch/LargeJobStarvationTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/LargeJobStarvationTest.java
@@ -48,6 +48,16 @@
         assertEquals(List.of(), violations);
     }
 
+    // A successor does not know how long a task has waited under former leaders.
+    @Test
+    void shouldRunLongRunningTasksAcrossChangesOfTheLeader() {
+        List<String> found = new ArrayList<>();
+        for (long seed : SEEDS) {
+            found.addAll(FullFleetDay.playWithTakeovers(seed).promise.violations);
+        }
+        assertEquals(List.of(), found);
+    }
+
     private void assertServedAsOthers(double from, double to) {
         List<JobOutcome> group = outcomes.subList((int) (from * outcomes.size()), (int) (to * outcomes.size()));
         double all = servedShare(outcomes);
