Search for nothing to preempt while the bound on preemption is reached

With the bound reached each waiting step still went over all runners ten times a second, on the leader's event loop.

--- a/core/src/main/java/org/pollensill/dispatch/Preemptor.java
+++ b/core/src/main/java/org/pollensill/dispatch/Preemptor.java
@@ -98,7 +98,7 @@
      */
     void preempt(List<TaskState> waiting, Optional<String> rack, long nowMs) {
         StepState step = waiting.get(0).step;
-        if (nowMs < step.nextPreemptionSearchAtMs) {
+        if (nowMs < step.nextPreemptionSearchAtMs || isBudgetSpent(step)) {
             return;
         }
         PriorityQueue<Eviction> cheapest = evictions(waiting.get(0), rack, nowMs);
@@ -111,17 +111,19 @@
                 step.nextPreemptionSearchAtMs = nowMs + RETRY_DELAY_MS;
                 return;
             }
-            long lostMillicores = eviction.get().lostMillicores();
-            if (lostMillicores > 0 && budgetMillicores.getOrDefault(step.job.service, 0L) <= 0) {
-                step.nextPreemptionSearchAtMs = nowMs + RETRY_DELAY_MS;
+            if (isBudgetSpent(step)) {
                 return;
             }
-            budgetMillicores.merge(step.job.service, -lostMillicores, Long::sum);
+            budgetMillicores.merge(step.job.service, -eviction.get().lostMillicores(), Long::sum);
             evict(eviction.get(), task, nowMs);
             evictionFor(task, eviction.get().runner(), nowMs).ifPresent(cheapest::add);
         }
     }
 
+    private boolean isBudgetSpent(StepState step) {
+        return budgetMillicores.getOrDefault(step.job.service, 0L) <= 0;
+    }
+
     /** Does the same for all members of a gang, unless there can be no room for all of them. */
     void preemptForGang(StepState gang, Optional<String> rack, long nowMs) {
         List<TaskState> unclaimed = new ArrayList<>();
@@ -197,6 +199,11 @@
 
     /** Returns the cheapest way to make room for a task on a runner, empty where there is none. */
     private Optional<Eviction> evictionFor(TaskState waiting, RunnerState runner, long nowMs) {
+        // On a fleet with little to preempt this excludes most runners at a fraction of the cost of the other checks.
+        long preemptibleMillicores = runner.freeMillicores() + runner.longRunningResources.processorsMillicores();
+        if (waiting.step.spec.need().processorsMillicores() > preemptibleMillicores) {
+            return Optional.empty();
+        }
         // Capacity that is freed on a reserved runner would not go to the waiting task, and a claim that has expired
         // shows a runner that does not carry out its stops.
         boolean withheld = runner.reservedFor != null || nowMs < runner.claimPauseEndMs;
