Stop no task that holds nothing of what a waiting task lacks

Where no single task left enough room, the victim with the most processors was taken even if the waiting task lacked memory or accelerators only. PreemptionClaimsTest#shouldSpareTasksThatHoldNothingOfWhatIsMissing.

--- a/core/src/main/java/org/pollensill/dispatch/Preemptor.java
+++ b/core/src/main/java/org/pollensill/dispatch/Preemptor.java
@@ -247,10 +247,11 @@
             TaskState next = null;
             boolean nextSuffices = false;
             for (TaskState candidate : candidates) {
-                if (!toleratesEviction(candidate, victims)) {
+                Resources freed = candidate.step.spec.reservedResources();
+                if (rest.minus(freed).equals(rest) || !toleratesEviction(candidate, victims)) {
                     continue;
                 }
-                boolean suffices = rest.fitsIn(candidate.step.spec.reservedResources());
+                boolean suffices = rest.fitsIn(freed);
                 boolean smaller = next == null || size(candidate) < size(next);
                 if (next == null || suffices && (!nextSuffices || smaller) || !suffices && !nextSuffices && !smaller) {
                     next = candidate;
--- a/core/src/test/java/org/pollensill/dispatch/PreemptionClaimsTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/PreemptionClaimsTest.java
@@ -105,6 +105,21 @@
             assertTrue(fleet.isRunning(LARGE_TASK));
         }
 
+        @Test
+        void shouldSpareTasksThatHoldNothingOfWhatIsMissing() {
+            fill(1, new Resources(1_000, 16_000 * Samples.MB, 0));
+            String other = "dddddddddddddddd";
+            fleet.addJob(other, step(3, new Resources(1_500, 0, 0), Trait.RESTART_ALWAYS), T0 + 11);
+            fleet.plan(T0 + 11);
+            fleet.report(T0 + 15);
+            assertEquals(List.of(), fleet.waitingTasks(other));
+            fleet.addJob(LARGE_JOB, step(1, new Resources(500, 32_000 * Samples.MB, 0)), T0 + 20);
+            fleet.commit(T0 + 20);
+            assertEquals(2, orders.stops.size());
+            assertTrue(
+                    orders.stops.stream().allMatch(stop -> stop.task().jobId().equals(LONG_RUNNING_JOB)));
+        }
+
         // A second claim on the runner could not be fulfilled.
         @Test
         void shouldMakeRoomOnDifferentRunnersForTasksThatMustRunApart() {
