Preempt nothing for a job that cannot be done while that has value

A step now causes preemptions only if a stop and the rest of the critical path fit before the end of the job's value. PreemptionClaimsTest#shouldStopNothingForAJobThatCannotBeDoneInTimeToBeOfValue.

--- a/core/src/main/java/org/pollensill/dispatch/JobState.java
+++ b/core/src/main/java/org/pollensill/dispatch/JobState.java
@@ -167,6 +167,11 @@
         return longestMs;
     }
 
+    /** Returns whether the job can be done before completion loses its value if its next tasks start after a delay. */
+    boolean canEndInValue(long nowMs, long startDelayMs) {
+        return hasRemainingValue(nowMs + startDelayMs + remainingCriticalPathMs());
+    }
+
     boolean hasRemainingValue(long nowMs) {
         return nowMs < addedAtMs + MAX_LATENESS_FACTOR * objectiveMs;
     }
--- a/core/src/main/java/org/pollensill/dispatch/Preemptor.java
+++ b/core/src/main/java/org/pollensill/dispatch/Preemptor.java
@@ -28,6 +28,9 @@
     /** Time since its placement for which a long-running task is not preempted, since it would have run for nothing. */
     static final long MIN_RUN_MS = 2_000;
 
+    /** Usual time from a stop order until the freed capacity is known: the end of the run, and the report of it. */
+    static final long STOP_DURATION_MS = 400;
+
     /** Delay before another search, over all runners, for a step for which nothing can be preempted. */
     private static final long RETRY_DELAY_MS = 100;
 
--- a/core/src/main/java/org/pollensill/dispatch/TaskScheduler.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskScheduler.java
@@ -100,12 +100,17 @@
         }
         if (placed < waiting.size() && step.runsToCompletion() && step.job.hasRemainingValue(nowMs)) {
             shortTaskUnplacedAtMs = nowMs;
-            if (placed < unclaimed.size() && !reservations.isExhausted()) {
+            if (placed < unclaimed.size() && mayPreempt(step, nowMs)) {
                 preemptor.preempt(unclaimed.subList(placed, unclaimed.size()), rack, nowMs);
             }
         }
     }
 
+    /** Returns whether long-running tasks may be stopped for a step, which must be of use to its job. */
+    private boolean mayPreempt(StepState step, long nowMs) {
+        return !reservations.isExhausted() && step.job.canEndInValue(nowMs, Preemptor.STOP_DURATION_MS);
+    }
+
     /** Returns whether the only free slot stays reserved for short tasks, some of which recently found no capacity. */
     private boolean reservesSlotForShortTasks(TaskState task, long nowMs) {
         StepState step = task.step;
@@ -218,7 +223,7 @@
                 placeAll(step, rack, run, nowMs) || rack.isPresent() && placeAll(step, Optional.empty(), run, nowMs);
         if (!placed && step.runsToCompletion() && step.job.hasRemainingValue(nowMs)) {
             shortTaskUnplacedAtMs = nowMs;
-            if (!reservations.isExhausted()) {
+            if (mayPreempt(step, nowMs)) {
                 preemptor.preemptForGang(step, rack, nowMs);
             }
         }
--- a/core/src/test/java/org/pollensill/dispatch/PreemptionClaimsTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/PreemptionClaimsTest.java
@@ -171,6 +171,18 @@
             assertEquals(6, orders.stops.size());
         }
 
+        // The queue's objective is 2.5 s for a task of 1 s; completion has value for 7.5 s.
+        @Test
+        void shouldStopNothingForAJobThatCannotBeDoneInTimeToBeOfValue() {
+            fill(3, Samples.NEED);
+            fleet.addJob(SMALL_JOB, step(1, Samples.NEED), T0 - 6_200);
+            fleet.commit(T0 + 20);
+            assertEquals(List.of(), orders.stops);
+            fleet.addJob(LARGE_JOB, step(1, Samples.NEED), T0 - 6_000);
+            fleet.commit(T0 + 30);
+            assertEquals(1, orders.stops.size());
+        }
+
         @Test
         void shouldNotStopATaskThatHasJustStartedAgain() {
             fill(1, Samples.NEED);
