Bound the searches for preemption in a round of placement

Suspected cause: the leader's processor. Each waiting step went over all runners in each round, and ten times a second where nothing was found, so the work of a round grew with the queue. Three steps a round may search, the most urgent first.

PreemptionClaimsTest#shouldBoundTheSearchesOfARound.

--- a/core/src/main/java/org/pollensill/dispatch/Preemptor.java
+++ b/core/src/main/java/org/pollensill/dispatch/Preemptor.java
@@ -34,6 +34,9 @@
     /** Delay before another search, over all runners, for a step for which nothing can be preempted. */
     private static final long RETRY_DELAY_MS = 100;
 
+    /** Maximum number of searches over all runners in a round; the most urgent steps come first, the others later. */
+    static final int MAX_SEARCHES_PER_ROUND = 3;
+
     private final Fleet fleet;
     private final RunnerSelector runnerSelector;
     private final ReportHandler reportHandler;
@@ -42,6 +45,8 @@
     /** Processors that may still be preempted, by service. */
     private final Map<String, Long> budgetMillicores = new HashMap<>();
 
+    private int searchesInRound;
+
     Preemptor(Fleet fleet, RunnerSelector runnerSelector, ReportHandler reportHandler, DispatchListener listener) {
         this.fleet = fleet;
         this.runnerSelector = runnerSelector;
@@ -62,6 +67,7 @@
     /** Begins a round: ends the claims that are of no use, and counts what is preempted and not running again. */
     void beginRound(List<StepState> readySteps, long nowMs) {
         claims.releaseInvalid(nowMs);
+        searchesInRound = 0;
         budgetMillicores.clear();
         for (RunnerState runner : fleet.all()) {
             if (runner.entry.isEmpty() || !runner.listed) {
@@ -101,9 +107,11 @@
      */
     void preempt(List<TaskState> waiting, Optional<String> rack, long nowMs) {
         StepState step = waiting.get(0).step;
-        if (nowMs < step.nextPreemptionSearchAtMs || isBudgetSpent(step)) {
+        boolean maySearch = searchesInRound < MAX_SEARCHES_PER_ROUND && nowMs >= step.nextPreemptionSearchAtMs;
+        if (!maySearch || isBudgetSpent(step)) {
             return;
         }
+        searchesInRound++;
         PriorityQueue<Eviction> cheapest = evictions(waiting.get(0), rack, nowMs);
         if (cheapest.isEmpty() && rack.isPresent()) {
             cheapest = evictions(waiting.get(0), Optional.empty(), nowMs);
--- a/core/src/test/java/org/pollensill/dispatch/PreemptionClaimsTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/PreemptionClaimsTest.java
@@ -171,6 +171,20 @@
             assertEquals(6, orders.stops.size());
         }
 
+        // The leader's event loop must not go over all runners for each of many waiting steps in one round.
+        @Test
+        void shouldBoundTheSearchesOfARound() {
+            fill(10, Samples.NEED);
+            for (int i = 0; i < 8; i++) {
+                fleet.addJob("%016x".formatted(i), step(1, Samples.NEED), T0 + 20);
+            }
+            fleet.commit(T0 + 20);
+            assertEquals(Preemptor.MAX_SEARCHES_PER_ROUND, orders.stops.size());
+            fleet.commit(T0 + 40);
+            fleet.commit(T0 + 60);
+            assertEquals(8, orders.stops.size());
+        }
+
         // The queue's objective is 2.5 s for a task of 1 s; completion has value for 7.5 s.
         @Test
         void shouldStopNothingForAJobThatCannotBeDoneInTimeToBeOfValue() {
