Log what was known of the runner when a run is released, and ends that no task claims

The lines of a task that ran twice could not tell a report of another incarnation, an overtaken report, a lapsed lease and an answer of another runner apart.

--- a/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorEvent.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorEvent.java
@@ -70,6 +70,10 @@
     TASK_DONE(7032, Level.INFO, "task done"),
     /** A run of a task was lost or abandoned; the cause is logged. */
     RUN_LOST(7033, Level.INFO, "run lost"),
+    /** A runner lists the end of a run that is not expected there, of a task that has not ended. */
+    END_UNCLAIMED(7049, Level.WARN, "unclaimed end"),
+    /** A stored placement names another incarnation of its runner than the list of runners. */
+    INCARNATION_MISMATCH(7051, Level.INFO, "incarnation mismatch"),
     /** The advice service has answered for a step: how many runners are allowed, or why there is no answer. */
     ADVICE_RECEIVED(7035, Level.INFO, "advice received"),
     /** A runner is quarantined after consecutive failures and gets no tasks for the logged time. */
--- a/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorMetrics.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorMetrics.java
@@ -39,6 +39,7 @@
     private final Histogram commitTime;
     private final Counter quarantines;
     private final Counter fencedOrders;
+    private final Counter unclaimedEnds;
     private final Counter answerTimeouts;
     private final Counter lateAnswers;
     private final Counter capacityReservations;
@@ -92,6 +93,10 @@
                 .name("pollensill_fenced_orders_total")
                 .help("Orders that a runner rejected because it has seen a higher fencing token")
                 .register(registry);
+        unclaimedEnds = Counter.builder()
+                .name("pollensill_unclaimed_ends_total")
+                .help("Ends of runs that were not expected on their runner, of unfinished tasks")
+                .register(registry);
         answerTimeouts = Counter.builder()
                 .name("pollensill_runner_answer_timeouts_total")
                 .help("Orders and renewals to runners without an answer within the timeout")
@@ -192,6 +197,10 @@
         lateAnswers.inc();
     }
 
+    void unclaimedEnd() {
+        unclaimedEnds.inc();
+    }
+
     void fenced() {
         fencedOrders.inc();
     }
--- a/coordinator/src/main/java/org/pollensill/coordinator/DecisionLog.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/DecisionLog.java
@@ -8,6 +8,8 @@
 import org.pollensill.dispatch.DispatchListener;
 import org.pollensill.dispatch.JobOutcome;
 import org.pollensill.dispatch.PlacementObstacle;
+import org.pollensill.dispatch.RunLoss;
+import org.pollensill.dispatch.UnclaimedEnd;
 import org.pollensill.dispatch.WaitReport;
 import org.pollensill.job.JobStatus;
 import org.pollensill.job.TaskName;
@@ -44,9 +46,70 @@
     }
 
     @Override
-    public void lost(TaskName task, int run, String runner, Cause cause) {
-        metrics.runLost(cause);
-        LOG.log(CoordinatorEvent.RUN_LOST, "task", task, "run", run, "runner", runner, "cause", cause);
+    public void lost(RunLoss loss) {
+        metrics.runLost(loss.cause());
+        LOG.log(
+                CoordinatorEvent.RUN_LOST,
+                "task",
+                loss.task(),
+                "run",
+                loss.run(),
+                "runner",
+                loss.runner(),
+                "cause",
+                loss.cause(),
+                "released",
+                loss.released(),
+                "placedIncarnationStartMs",
+                loss.placedIncarnationStartMs(),
+                "incarnationStartMs",
+                loss.incarnationStartMs(),
+                "confirmedAtRenewal",
+                loss.confirmedAtRenewal(),
+                "reportedRenewal",
+                loss.reportedRenewal(),
+                "sentRenewal",
+                loss.sentRenewal(),
+                "leaseRemainingMs",
+                loss.leaseRemainingMs());
+    }
+
+    @Override
+    public void unclaimedEnd(UnclaimedEnd end) {
+        metrics.unclaimedEnd();
+        LOG.log(
+                CoordinatorEvent.END_UNCLAIMED,
+                "task",
+                end.task(),
+                "run",
+                end.run(),
+                "runner",
+                end.runner(),
+                "number",
+                end.number(),
+                "kind",
+                end.kind(),
+                "currentRun",
+                end.currentRun(),
+                "currentRunner",
+                end.currentRunner());
+    }
+
+    @Override
+    public void incarnationMismatch(
+            TaskName task, int run, String runner, long recordedIncarnationStartMs, long listedIncarnationStartMs) {
+        LOG.log(
+                CoordinatorEvent.INCARNATION_MISMATCH,
+                "task",
+                task,
+                "run",
+                run,
+                "runner",
+                runner,
+                "recordedIncarnationStartMs",
+                recordedIncarnationStartMs,
+                "listedIncarnationStartMs",
+                listedIncarnationStartMs);
     }
 
     @Override
--- a/core/src/main/java/org/pollensill/dispatch/DispatchListener.java
+++ b/core/src/main/java/org/pollensill/dispatch/DispatchListener.java
@@ -63,12 +63,28 @@
     /**
      * Called when a run was lost or is to be stopped.
      *
+     * @param loss the run, the cause and what was known of the runner
+     */
+    void lost(RunLoss loss);
+
+    /**
+     * Called when a runner lists the end of a run that is not expected there, of a task that has not ended.
+     *
+     * @param end the end
+     */
+    void unclaimedEnd(UnclaimedEnd end);
+
+    /**
+     * Called when a stored placement names another incarnation of its runner than the list of runners.
+     *
      * @param task the task
      * @param run its run
      * @param runner the runner
-     * @param cause the cause
+     * @param recordedIncarnationStartMs the incarnation in the record, as Unix time in milliseconds
+     * @param listedIncarnationStartMs the incarnation in the list, as Unix time in milliseconds
      */
-    void lost(TaskName task, int run, String runner, Cause cause);
+    void incarnationMismatch(
+            TaskName task, int run, String runner, long recordedIncarnationStartMs, long listedIncarnationStartMs);
 
     /**
      * Called when a job has a new state, which is not durable yet.
--- a/core/src/main/java/org/pollensill/dispatch/JobTable.java
+++ b/core/src/main/java/org/pollensill/dispatch/JobTable.java
@@ -193,6 +193,13 @@
                     // Any report counts: a runner that reports to this leader already refuses orders of former leaders.
                     task.confirmedAtRenewal = -1;
                     runner.add(task);
+                } else {
+                    listener.incarnationMismatch(
+                            task.name,
+                            task.run,
+                            runner.id,
+                            assignedRunner.incarnationStartMs(),
+                            runner.incarnationStartMs);
                 }
             }
         }
--- a/core/src/main/java/org/pollensill/dispatch/ReportHandler.java
+++ b/core/src/main/java/org/pollensill/dispatch/ReportHandler.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import org.pollensill.dispatch.DispatchListener.Cause;
@@ -136,6 +137,7 @@
     private void applyEnd(RunnerState runner, RunnerReport.EndedRun end, long nowMs) {
         TaskState task = runner.tasks.get(end.task());
         if (task == null || task.run != end.run()) {
+            reportUnclaimedEnd(runner, end);
             return;
         }
         if (!end.checkpoint().isEmpty()) {
@@ -170,6 +172,24 @@
         releaseLost(task, Cause.ENDED_EARLY, nowMs, 0);
     }
 
+    private void reportUnclaimedEnd(RunnerState runner, RunnerReport.EndedRun end) {
+        Optional<TaskState> found = jobs.task(end.task());
+        if (found.isEmpty()
+                || found.get().phase == TaskState.Phase.DONE
+                || found.get().step.job.status.isFinal()) {
+            return;
+        }
+        TaskState task = found.get();
+        listener.unclaimedEnd(new UnclaimedEnd(
+                task.name,
+                end.run(),
+                runner.id,
+                end.sequence(),
+                end.kind(),
+                task.run,
+                task.runner == null ? "" : task.runner.id));
+    }
+
     /** Ends a job as failed, unless it has ended otherwise. */
     void fail(JobState job, long nowMs) {
         if (job.status.isFinal()) {
@@ -194,7 +214,7 @@
     /** Releases a run from its runner because it has certainly ended there or has never begun. */
     void releaseLost(TaskState task, Cause cause, long nowMs, long delayMs) {
         RunnerState runner = task.runner;
-        listener.lost(task.name, task.run, runner == null ? "" : runner.id, cause);
+        listener.lost(RunLoss.of(task, cause, true, nowMs));
         if (cause == Cause.FAILED || cause == Cause.STALLED || cause == Cause.LEASE_LAPSED) {
             task.avoidRunner = runner == null ? "" : runner.id;
         }
@@ -288,7 +308,7 @@
 
     void stop(TaskState task, Cause cause, long nowMs) {
         if (!task.stopping) {
-            listener.lost(task.name, task.run, task.runner.id, cause);
+            listener.lost(RunLoss.of(task, cause, false, nowMs));
         }
         task.stopping = true;
         task.stopAttempts++;
--- a/core/src/test/java/org/pollensill/dispatch/CountingListener.java
+++ b/core/src/test/java/org/pollensill/dispatch/CountingListener.java
@@ -34,10 +34,17 @@
     public void done(TaskName task, int run, String runner) {}
 
     @Override
-    public void lost(TaskName task, int run, String runner, Cause cause) {
+    public void lost(RunLoss loss) {
         lost++;
     }
 
+    @Override
+    public void unclaimedEnd(UnclaimedEnd end) {}
+
+    @Override
+    public void incarnationMismatch(
+            TaskName task, int run, String runner, long recordedIncarnationStartMs, long listedIncarnationStartMs) {}
+
     @Override
     public void statusChanged(String job, JobStatus status) {}
 
--- a/core/src/test/java/org/pollensill/dispatch/FleetSimulation.java
+++ b/core/src/test/java/org/pollensill/dispatch/FleetSimulation.java
@@ -258,8 +258,8 @@
                         }
 
                         @Override
-                        public void lost(TaskName task, int run, String runner, Cause cause) {
-                            preemptions += cause == Cause.PREEMPTED ? 1 : 0;
+                        public void lost(RunLoss loss) {
+                            preemptions += loss.cause() == Cause.PREEMPTED ? 1 : 0;
                         }
                     });
         }
