Show the release of a restored placement after a restart seen before the load

Cause: the list of runners is read while the jobs are loaded. A runner without tasks that restarts between two reads begins its incarnation without the leases of the former leader, so a placement that is restored on it counts as lapsed at once, and without a wait if the runner is no longer listed.

--- a/core/src/test/java/org/pollensill/dispatch/RunReleaseTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/RunReleaseTest.java
@@ -797,5 +797,28 @@
             takeOver(100, 200);
             assertKeptOnceTheRunnerReportsIt();
         }
+
+        // Its runs hold leases of the former leader, whatever the list showed before their jobs were loaded.
+        @Test
+        @Tag("known-red")
+        void shouldNotReleaseARestoredPlacementOnARunnerThatRestartedBeforeItsJobWasLoaded() {
+            dispatcher.setCatalogue(Samples.catalogue(2));
+            dispatcher.updateRunners(List.of(Samples.runner("r1", 100, false), Samples.runner("r2")));
+            dispatcher.updateRunners(List.of(Samples.runner("r1", 200, false), Samples.runner("r2")));
+            TaskRecord placed =
+                    new TaskRecord(0, 0, 0, false, 1, 0, "", Optional.of(new TaskRecord.RunnerIncarnation("r1", 200)));
+            dispatcher.addJob(
+                    Samples.job(JOB, Samples.step(1)),
+                    Optional.of(new JobRecord(JobStatus.RUNNING, List.of(placed))),
+                    T0);
+            dispatcher.startOrders();
+            dispatcher.updateRunners(List.of(Samples.runner("r2")));
+            Optional<Long> startedMs = passUntilStartBeside("r1", T0, T0 + 30_000);
+            assertTrue(startedMs.isPresent());
+            long heldMs = startedMs.get() - T0;
+            assertTrue(
+                    heldMs >= RunnerClock.maxLocalDurationMs(DispatchTiming.LEASE_MS),
+                    "started elsewhere after " + heldMs + " ms");
+        }
     }
 }
