--- a/core/src/test/java/org/pollensill/dispatch/SimulatedCluster.java
+++ b/core/src/test/java/org/pollensill/dispatch/SimulatedCluster.java
@@ -37,6 +37,7 @@
     final SimulatedStore store = new SimulatedStore();
     final Map<String, SimulatedRunner> runners = new HashMap<>();
     final List<String> violations = new ArrayList<>();
+    final WithoutRunTimes withoutRun = new WithoutRunTimes();
     private final Set<String> partitioned = new HashSet<>();
     private final Map<TaskName, String> runningOn = new HashMap<>();
     private final Set<TaskName> acknowledged = new HashSet<>();
@@ -322,18 +323,21 @@
             violation(task + " run " + run + " begins after its end was acknowledged");
         }
         begunAtMs.put(task, nowMs);
+        withoutRun.onBegin(task, nowMs);
     }
 
     @Override
     public void onEnd(String runner, TaskName task, int run, EndKind kind) {
         trace("end " + task + " run " + run + " on " + runner + " " + kind);
         runningOn.remove(task, runner);
+        withoutRun.onEnd(task, kind, nowMs);
     }
 
     @Override
     public void onCrash(String runner, TaskName task, int run) {
         trace("crash " + task + " run " + run + " on " + runner);
         runningOn.remove(task, runner);
+        withoutRun.onCrash(task, nowMs);
     }
 
     @Override
--- a/core/src/test/java/org/pollensill/dispatch/TakeoverPropertyTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/TakeoverPropertyTest.java
@@ -178,6 +178,7 @@
             currentLeader().deposed = true;
         }
         leaders.add(SimulatedLeader.takeOver(cluster, "c" + leaders.size() + "-", jobs));
+        cluster.withoutRun.onTakeover(cluster.nowMs());
         if (cluster.settings().nextLives() && cluster.random().nextBoolean()) {
             String runner = "r" + cluster.random().nextInt(RUNNERS);
             cluster.after(cluster.random().nextInt(NEAR_TAKEOVER_MS), () -> cluster.restart(runner));
