Take back a run that was released and that its runner reports to be at work

A run that its runner lists and no task claims was stopped, while its task could be placed elsewhere in the same moment. As a second line of defence a waiting task takes such a run back where it is its latest one; gangs and ended jobs are left to the stop order.

--- a/core/src/main/java/org/pollensill/dispatch/ReportHandler.java
+++ b/core/src/main/java/org/pollensill/dispatch/ReportHandler.java
@@ -112,6 +112,7 @@
     }
 
     private void applyRunning(RunnerState runner, RunnerReport.RunningTask row, long sequence, long nowMs) {
+        resumeIfReleased(runner, row, nowMs);
         TaskState task = runner.tasks.get(row.task());
         if (task == null || task.run != row.run()) {
             runner.address().ifPresent(to -> orders.stop(to, row.task(), row.run()));
@@ -137,6 +138,22 @@
         }
     }
 
+    /** Takes back a run that is at work although it was released, so that the task is not started beside it. */
+    private void resumeIfReleased(RunnerState runner, RunnerReport.RunningTask row, long nowMs) {
+        Optional<TaskState> found = jobs.task(row.task());
+        if (found.isEmpty()) {
+            return;
+        }
+        TaskState task = found.get();
+        boolean released = task.phase == TaskState.Phase.WAITING && task.run == row.run();
+        if (!released || task.step.job.status.isFinal() || task.step.spec.hasTrait(Trait.GANG)) {
+            return;
+        }
+        task.resumeOn(runner, runner.renewalAddress, nowMs);
+        pendingChanges.changed(task);
+        listener.started(task.name, task.run, runner.id);
+    }
+
     /** Marks a run as confirmed by its runner; only reports to renewals sent from now on must list it. */
     void confirm(TaskState task, RunnerState runner) {
         task.phase = TaskState.Phase.RUNNING;
--- a/core/src/main/java/org/pollensill/dispatch/TaskState.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskState.java
@@ -7,6 +7,7 @@
 import org.pollensill.job.ProgressLayout;
 import org.pollensill.job.TaskName;
 import org.pollensill.job.TaskRecord;
+import org.pollensill.job.Trait;
 
 /** In-memory state of a task. */
 final class TaskState {
@@ -189,6 +190,20 @@
         }
     }
 
+    /** Takes back a run that its runner reports to be at work although it was released. */
+    void resumeOn(RunnerState found, String address, long nowMs) {
+        phase = Phase.RUNNING;
+        runner = found;
+        placedIncarnationStartMs = found.incarnationStartMs;
+        confirmedAtRenewal = found.renewalSequence;
+        runAddress = address;
+        paceUnknown = step.spec.hasTrait(Trait.FILLS);
+        startedAtMs = nowMs;
+        progressAtMs = nowMs;
+        progressClockMs = 0;
+        found.add(this);
+    }
+
     /** Releases the task from its runner; it is waiting again unless it is done. */
     void release() {
         if (runner != null) {
--- a/core/src/test/java/org/pollensill/dispatch/SimulatedLeader.java
+++ b/core/src/test/java/org/pollensill/dispatch/SimulatedLeader.java
@@ -110,10 +110,9 @@
     private static DispatchListener listener(SimulatedCluster cluster, long fencingToken) {
         return new CountingListener() {
             @Override
-            public void lost(TaskName task, int run, String runner, Cause cause) {
-                super.lost(task, run, runner, cause);
-                cluster.trace(
-                        "fence " + fencingToken + " lost " + task + " run " + run + " on " + runner + " " + cause);
+            public void lost(RunLoss loss) {
+                super.lost(loss);
+                cluster.trace("fence " + fencingToken + " " + loss);
             }
         };
     }
