Acknowledge ends only on a connection to the incarnation that lists them

The numbers of ends begin anew in each incarnation, and an order names the runner alone. A renewal that was sent within 2.4 s of the last answer could reach the next incarnation, for example after a pause of the leader, and acknowledge as many of its ends, which nobody had read; their tasks then counted as never done and were started again.

A connection ends with the process that it was opened to. The acknowledgement is now written only to a connection that has carried a report of the incarnation; the renewal that opens one goes without. Whether it has arrived is read from the ends that the next report still lists.

--- a/core/src/main/java/org/pollensill/dispatch/ReportHandler.java
+++ b/core/src/main/java/org/pollensill/dispatch/ReportHandler.java
@@ -63,6 +63,11 @@
             return false;
         }
         runner.lastReportSequence = sequence;
+        // The runner lists all ends that are not acknowledged, whatever has become of the acknowledgements sent.
+        runner.lastAcknowledgedEnd = runner.lastSeenEnd;
+        for (RunnerReport.EndedRun end : report.ended()) {
+            runner.lastAcknowledgedEnd = Math.min(runner.lastAcknowledgedEnd, end.sequence() - 1);
+        }
         runner.lastReportClockMs = report.clockMs();
         runner.lastAnswerAtMs = nowMs;
         Map<TaskName, RunnerReport.RunningTask> running = new HashMap<>();
--- a/core/src/main/java/org/pollensill/dispatch/RunnerMaintenance.java
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerMaintenance.java
@@ -88,7 +88,12 @@
             runner.renewalAddress = to.get().address();
             orders.renewLease(
                     to.get(),
-                    new RenewalOrder(Optional.of(untilMs), fencingToken, acknowledgedEnd(runner, nowMs), 0),
+                    new RenewalOrder(
+                            Optional.of(untilMs),
+                            fencingToken,
+                            runner.incarnationStartMs,
+                            acknowledgedEnd(runner, nowMs),
+                            0),
                     fleet.nextRenewal(runner));
         }
     }
@@ -232,7 +237,8 @@
         runner.lastAcknowledgedEnd = Math.max(runner.lastAcknowledgedEnd, acknowledgedEnd);
         orders.renewLease(
                 to.get(),
-                new RenewalOrder(untilMs, fencingToken, acknowledgedEnd, longPoll ? waitMs : 0),
+                new RenewalOrder(
+                        untilMs, fencingToken, runner.incarnationStartMs, acknowledgedEnd, longPoll ? waitMs : 0),
                 fleet.nextRenewal(runner));
     }
 
--- a/core/src/test/java/org/pollensill/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/DispatcherTest.java
@@ -179,7 +179,7 @@
         private RecordedOrders.Renewal thirdRenewal(long nowMs) {
             return new RecordedOrders.Renewal(
                     new org.pollensill.runner.RunnerAddress("r1", "10.0.0.1:80"),
-                    new org.pollensill.runner.RenewalOrder(Optional.empty(), 7, 0, 0),
+                    new org.pollensill.runner.RenewalOrder(Optional.empty(), 7, 1, 0, 0),
                     3);
         }
 
--- a/core/src/test/java/org/pollensill/dispatch/SimulatedRunner.java
+++ b/core/src/test/java/org/pollensill/dispatch/SimulatedRunner.java
@@ -163,8 +163,10 @@
         }
         highestFencingToken = order.fencingToken();
         order.leaseEndMs().ifPresent(untilMs -> leaseEndMs = Math.max(leaseEndMs, grantedLeaseEndMs(untilMs, nowMs)));
+        // The adapter acknowledges only on a connection to the incarnation, which HttpRunnerServiceTest checks.
+        long acknowledgedEnd = order.incarnationStartMs() == incarnationStartMs ? order.acknowledgedSequence() : 0;
         for (End end : List.copyOf(ended)) {
-            if (end.row().sequence() <= order.acknowledgedSequence()) {
+            if (end.row().sequence() <= acknowledgedEnd) {
                 ended.remove(end);
                 if (end.leaseExpirations() == leaseExpirations) {
                     observer.onAcknowledged(id, end.row(), end.endedAtMs());
--- a/runtime/src/main/java/org/pollensill/runtime/http/ClientExchange.java
+++ b/runtime/src/main/java/org/pollensill/runtime/http/ClientExchange.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 
 import org.pollensill.runtime.net.Addresses;
 
@@ -9,16 +10,20 @@
 final class ClientExchange {
 
     private final InetSocketAddress address;
-    private final Request request;
+    private final Function<ClientConnection, Request> requestOfConnection;
     private final long timeoutMs;
     private final long startNs = System.nanoTime();
     private final SendGuard guard;
     private final CompletableFuture<Answer> response = new CompletableFuture<>();
     private volatile boolean sent;
 
-    ClientExchange(InetSocketAddress address, Request request, long timeoutMs, SendGuard guard) {
+    ClientExchange(
+            InetSocketAddress address,
+            Function<ClientConnection, Request> requestOfConnection,
+            long timeoutMs,
+            SendGuard guard) {
         this.address = address;
-        this.request = request;
+        this.requestOfConnection = requestOfConnection;
         this.timeoutMs = timeoutMs;
         this.guard = guard;
     }
@@ -31,8 +36,9 @@
         return address;
     }
 
-    Request request() {
-        return request;
+    /** Returns the request to write to a connection. */
+    Request requestFor(ClientConnection connection) {
+        return requestOfConnection.apply(connection);
     }
 
     long remainingMs() {
@@ -50,7 +56,6 @@
     }
 
     void fail(HttpException.Reason reason, String message) {
-        response.completeExceptionally(
-                new HttpException(reason, sent, message + ": " + request.method() + " " + Addresses.format(address)));
+        response.completeExceptionally(new HttpException(reason, sent, message + ": " + Addresses.format(address)));
     }
 }
--- a/runtime/src/main/java/org/pollensill/runtime/http/ClientExchangeHandler.java
+++ b/runtime/src/main/java/org/pollensill/runtime/http/ClientExchangeHandler.java
@@ -1,6 +1,7 @@
 package org.pollensill.runtime.http;
 
 import java.io.IOException;
+import java.util.Optional;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.TimeUnit;
 
@@ -16,6 +17,7 @@
 final class ClientExchangeHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
 
     private final int idleTimeoutMs;
+    private final ClientConnection connection = new IdentifiedConnection();
     private ChannelHandlerContext context;
     private ClientExchange current;
     private ConnectionPool pool;
@@ -72,7 +74,7 @@
                         },
                         remainingMs,
                         TimeUnit.MILLISECONDS);
-        channel.writeAndFlush(HttpMessages.toNettyRequest(exchange.request(), exchange.address()))
+        channel.writeAndFlush(HttpMessages.toNettyRequest(exchange.requestFor(connection), exchange.address()))
                 .addListener(written -> {
                     if (!written.isSuccess()) {
                         failAndClose(HttpException.Reason.CLOSED, "the request could not be written");
@@ -146,4 +148,19 @@
             timeout = null;
         }
     }
+
+    private static final class IdentifiedConnection implements ClientConnection {
+
+        private Optional<String> peer = Optional.empty();
+
+        @Override
+        public Optional<String> peer() {
+            return peer;
+        }
+
+        @Override
+        public void identifyPeer(String identity) {
+            peer = Optional.of(identity);
+        }
+    }
 }
--- a/runtime/src/main/java/org/pollensill/runtime/http/HttpClient.java
+++ b/runtime/src/main/java/org/pollensill/runtime/http/HttpClient.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelInitializer;
@@ -80,11 +81,31 @@
      * @return the complete response; fails with a {@link HttpException}
      */
     public CompletableFuture<Answer> send(InetSocketAddress address, Request request, long timeoutMs, SendGuard guard) {
-        Objects.requireNonNull(address, "address is null");
         Objects.requireNonNull(request, "request is null");
         Objects.requireNonNull(guard, "guard is null");
-        ClientExchange exchange = new ClientExchange(address, request, timeoutMs, guard);
-        pools.computeIfAbsent(address, key -> new ConnectionPool(bootstrap, key, limits))
+        return run(new ClientExchange(
+                Objects.requireNonNull(address, "address is null"), connection -> request, timeoutMs, guard));
+    }
+
+    /**
+     * Sends a request that depends on the connection that it is written to.
+     *
+     * @param address the server's address
+     * @param request returns the request for a connection; called once, immediately before the write
+     * @param timeoutMs maximum time from now to the end of the response
+     * @return the complete response; fails with a {@link HttpException}
+     */
+    public CompletableFuture<Answer> send(
+            InetSocketAddress address, Function<ClientConnection, Request> request, long timeoutMs) {
+        return run(new ClientExchange(
+                Objects.requireNonNull(address, "address is null"),
+                Objects.requireNonNull(request, "request is null"),
+                timeoutMs,
+                SendGuard.ALLOW));
+    }
+
+    private CompletableFuture<Answer> run(ClientExchange exchange) {
+        pools.computeIfAbsent(exchange.address(), key -> new ConnectionPool(bootstrap, key, limits))
                 .run(exchange);
         return exchange.response();
     }
