--- a/core/src/test/java/org/pollensill/dispatch/TakeoverPropertyTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/TakeoverPropertyTest.java
@@ -6,7 +6,6 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
-import net.jqwik.api.Tag;
 import net.jqwik.api.constraints.LongRange;
 import org.pollensill.job.JobRequest;
 import org.pollensill.job.ProgressLayout;
@@ -49,35 +48,30 @@
         play(seed, jobs(), ModelSettings.NONE);
     }
 
-    @Tag("known-red")
     @Property(tries = WIDENED_TRIES, seed = "20261206", shrinking = ShrinkingMode.OFF)
     void shouldRunNoTaskTwiceWhileTheListOfRunnersLags(@ForAll @LongRange(min = 0, max = 1_000_000) long seed)
             throws JsonSyntaxException {
         play(seed, chains(), ModelSettings.LIST_LAGS);
     }
 
-    @Tag("known-red")
     @Property(tries = WIDENED_TRIES, seed = "20261207", shrinking = ShrinkingMode.OFF)
     void shouldRunNoTaskTwiceWhileAnswersComeAfterTheirTimeout(@ForAll @LongRange(min = 0, max = 1_000_000) long seed)
             throws JsonSyntaxException {
         play(seed, chains(), ModelSettings.LATE_ANSWERS);
     }
 
-    @Tag("known-red")
     @Property(tries = WIDENED_TRIES, seed = "20261208", shrinking = ShrinkingMode.OFF)
     void shouldRunNoTaskTwiceWhileLateOrdersReachTheNextLifeOfARunner(
             @ForAll @LongRange(min = 0, max = 1_000_000) long seed) throws JsonSyntaxException {
         play(seed, jobs(), ModelSettings.LATE_ORDERS_TO_NEXT_LIVES);
     }
 
-    @Tag("known-red")
     @Property(tries = WIDENED_TRIES, seed = "20261210", shrinking = ShrinkingMode.OFF)
     void shouldRunNoTaskTwiceWhileRunnersMoveToOtherAddresses(@ForAll @LongRange(min = 0, max = 1_000_000) long seed)
             throws JsonSyntaxException {
         play(seed, jobs(), ModelSettings.LATE_ANSWERS_TO_FORMER_ADDRESSES);
     }
 
-    @Tag("known-red")
     @Property(tries = WIDENED_TRIES, seed = "20261209", shrinking = ShrinkingMode.OFF)
     void shouldRunNoTaskTwiceWhileListsAnswersAndRunnersChangeTogether(
             @ForAll @LongRange(min = 0, max = 1_000_000) long seed) throws JsonSyntaxException {
