Ask right before the write whether a start order may still be sent

The lease of the leader was checked when a start order was handed to the HTTP client. An order that waited for a connection, or a process that was paused in between, wrote it seconds later; a runner that had restarted meanwhile, and knows no fencing token, would accept it. The check now runs again immediately before the write.

--- a/coordinator/src/main/java/org/pollensill/coordinator/OrderSender.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/OrderSender.java
@@ -60,7 +60,7 @@
     public void start(RunnerAddress to, StartOrder order) {
         sendOrder(
                 to,
-                patienceMs -> runners.start(to, order, patienceMs),
+                patienceMs -> runners.start(to, order, patienceMs, mayStart),
                 answer -> dispatcher.onStart(order.task(), order.run(), to.id(), answer, loop.nowMs()));
     }
 
--- a/core/src/main/java/org/pollensill/runner/RunnerService.java
+++ b/core/src/main/java/org/pollensill/runner/RunnerService.java
@@ -1,6 +1,7 @@
 package org.pollensill.runner;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 
 import org.pollensill.job.TaskName;
 
@@ -16,9 +17,10 @@
      * @param to the runner
      * @param order the order
      * @param patienceMs time after which no answer is awaited any more
+     * @param mayStart decides immediately before the order is written whether the sender may still start runs
      * @return the answer
      */
-    CompletableFuture<OrderAnswer> start(RunnerAddress to, StartOrder order, long patienceMs);
+    CompletableFuture<OrderAnswer> start(RunnerAddress to, StartOrder order, long patienceMs, BooleanSupplier mayStart);
 
     /**
      * Stops a run. If its start order arrives later, the runner refuses it.
--- a/core/src/test/java/org/pollensill/dispatch/RunReleaseTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/RunReleaseTest.java
@@ -167,6 +167,43 @@
         report(renewalOf("r2", nowMs), nowMs, List.of(), List.of());
     }
 
+    /** A run that was released is at work after all. */
+    @Nested
+    class ReleasedRuns {
+
+        private static final long RELEASED_MS = T0 + 12_000;
+
+        private RecordedOrders.Start startAndRelease() {
+            becomeLeader("r1");
+            addJob(Samples.step(1));
+            RecordedOrders.Start start = startOne(T0);
+            assertEquals(Optional.empty(), passUntilStartBeside("r1", T0 + 10, RELEASED_MS));
+            assertEquals(1, listener.lost);
+            return start;
+        }
+
+        @Test
+        void shouldNotStartATaskBesideItsReleasedRun() {
+            RecordedOrders.Start start = startAndRelease();
+            report(renewalOf("r1", RELEASED_MS + 300), RELEASED_MS + 310, List.of(running(start, 5)), List.of());
+            commit(RELEASED_MS + 320);
+            assertTrue(orders.starts.isEmpty());
+            assertTrue(orders.stops.isEmpty());
+            RunnerReport.EndedRun end = end(1, TASK, 1, EndKind.DONE);
+            report(renewalOf("r1", RELEASED_MS + 330), RELEASED_MS + 340, List.of(), List.of(end));
+            commit(RELEASED_MS + 350);
+            assertEquals(Optional.of(JobStatus.DONE), dispatcher.status(JOB));
+        }
+
+        @Test
+        void shouldStopAReleasedRunOfACancelledJob() {
+            RecordedOrders.Start start = startAndRelease();
+            dispatcher.cancel(JOB, RELEASED_MS + 290);
+            report(renewalOf("r1", RELEASED_MS + 300), RELEASED_MS + 310, List.of(running(start, 5)), List.of());
+            assertEquals(1, orders.stops.size());
+        }
+    }
+
     /** Renewals are numbered anew when a runner is listed again after it was forgotten. */
     @Nested
     class ForgottenRunners {
--- a/runtime/src/main/java/org/pollensill/runtime/http/ClientExchange.java
+++ b/runtime/src/main/java/org/pollensill/runtime/http/ClientExchange.java
@@ -16,6 +16,7 @@
     private final SendGuard guard;
     private final CompletableFuture<Answer> response = new CompletableFuture<>();
     private volatile boolean sent;
+    private volatile String method = "";
 
     ClientExchange(
             InetSocketAddress address,
@@ -38,7 +39,9 @@
 
     /** Returns the request to write to a connection. */
     Request requestFor(ClientConnection connection) {
-        return requestOfConnection.apply(connection);
+        Request request = requestOfConnection.apply(connection);
+        method = request.method() + " ";
+        return request;
     }
 
     long remainingMs() {
@@ -56,6 +59,7 @@
     }
 
     void fail(HttpException.Reason reason, String message) {
-        response.completeExceptionally(new HttpException(reason, sent, message + ": " + Addresses.format(address)));
+        response.completeExceptionally(
+                new HttpException(reason, sent, message + ": " + method + Addresses.format(address)));
     }
 }
--- a/runtime/src/main/java/org/pollensill/runtime/http/HttpClient.java
+++ b/runtime/src/main/java/org/pollensill/runtime/http/HttpClient.java
@@ -93,15 +93,16 @@
      * @param address the server's address
      * @param request returns the request for a connection; called once, immediately before the write
      * @param timeoutMs maximum time from now to the end of the response
+     * @param guard decides whether the request may still be sent
      * @return the complete response; fails with a {@link HttpException}
      */
     public CompletableFuture<Answer> send(
-            InetSocketAddress address, Function<ClientConnection, Request> request, long timeoutMs) {
+            InetSocketAddress address, Function<ClientConnection, Request> request, long timeoutMs, SendGuard guard) {
         return run(new ClientExchange(
                 Objects.requireNonNull(address, "address is null"),
                 Objects.requireNonNull(request, "request is null"),
                 timeoutMs,
-                SendGuard.ALLOW));
+                Objects.requireNonNull(guard, "guard is null")));
     }
 
     private CompletableFuture<Answer> run(ClientExchange exchange) {
--- a/runtime/src/main/java/org/pollensill/runtime/http/HttpException.java
+++ b/runtime/src/main/java/org/pollensill/runtime/http/HttpException.java
@@ -35,7 +35,7 @@
      *
      * @param reason the cause
      * @param sent whether a byte of the request may have left this process
-     * @param message the failure with method and address
+     * @param message the failure with the address, and with the method once that is known
      */
     public HttpException(Reason reason, boolean sent, String message) {
         super(message);
