--- a/core/src/test/java/org/pollensill/dispatch/ReviewFindingsTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/ReviewFindingsTest.java
@@ -230,7 +230,7 @@
         commit(T0 + 440);
         assertEquals(1, listener.lost);
         RunnerReport atWork = new RunnerReport(
-                60, 2, List.of(new RunnerReport.RunningTask(TASK, 1, "", 5, 0)), List.of());
+                20_110, 2, List.of(new RunnerReport.RunningTask(TASK, 1, "", 5, 0)), List.of());
         RecordedOrders.Renewal next = nextRenewal(T0 + 20_500);
         dispatcher.onRenewal(
                 "r1",
@@ -251,4 +251,31 @@
     void shouldNotStartAGangBesideAReleasedRunThatIsReportedAtWork() {
         assertEquals(List.of(), runsOrderedBesideAReleasedOne(Trait.GANG));
     }
+
+    // The lease that the leader knows of has passed when the run is taken back; without a renewal all runs are killed.
+    @Test
+    void shouldRenewTheLeaseOfARunThatIsTakenBack() {
+        assertEquals(List.of(), runsOrderedBesideAReleasedOne());
+        boolean renewed = false;
+        for (long nowMs = T0 + 20_600; nowMs < T0 + 26_000; nowMs += STEP_MS) {
+            dispatcher.tick(nowMs, nowMs, true);
+            List<RecordedOrders.Renewal> sent = List.copyOf(orders.renewals);
+            orders.renewals.clear();
+            for (RecordedOrders.Renewal renewal : sent) {
+                renewed |= renewal.order().leaseEndMs().isPresent();
+                RunnerReport atWork = new RunnerReport(
+                        20_110 + nowMs - T0 - 20_510,
+                        2,
+                        List.of(new RunnerReport.RunningTask(TASK, 1, "", 5, 0)),
+                        List.of());
+                dispatcher.onRenewal(
+                        "r1",
+                        renewal.sequence(),
+                        new RenewalAnswer(OrderOutcome.ACCEPTED, Optional.of(atWork)),
+                        nowMs + 10);
+            }
+            commit(nowMs + 20);
+        }
+        assertTrue(renewed, "the lease is not renewed for 5.4 s");
+    }
 }
