--- a/core/src/test/java/org/pollensill/dispatch/ModelSettings.java
+++ b/core/src/test/java/org/pollensill/dispatch/ModelSettings.java
@@ -1,5 +1,9 @@
 package org.pollensill.dispatch;
 
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+
 /**
  * What the simulated cluster does beyond lost answers, late effects and instant restarts.
  *
@@ -9,6 +13,7 @@
  * @param nextLives whether runners restart often, are down for a while and get orders meant for their former life
  * @param addressesMove whether a restarted runner may return at another address, which another runner may take over
  * @param storeSlow whether the store answers and performs commits late
+ * @param paths the related paths that are taken
  */
 record ModelSettings(
         boolean listLags,
@@ -16,7 +21,8 @@
         boolean lateAnswers,
         boolean nextLives,
         boolean addressesMove,
-        boolean storeSlow) {
+        boolean storeSlow,
+        Set<ModelPath> paths) {
 
     static final ModelSettings NONE = new ModelSettings(false, false, false, false, false, false);
     static final ModelSettings LIST_LAGS = new ModelSettings(true, false, false, false, false, false);
@@ -29,4 +35,29 @@
     static final ModelSettings LATE_ANSWERS_TO_FORMER_ADDRESSES =
             new ModelSettings(true, true, true, false, true, false);
     static final ModelSettings ALL = new ModelSettings(true, true, true, true, true, true);
+
+    ModelSettings {
+        paths = Set.copyOf(paths);
+    }
+
+    private ModelSettings(
+            boolean listLags,
+            boolean listGaps,
+            boolean lateAnswers,
+            boolean nextLives,
+            boolean addressesMove,
+            boolean storeSlow) {
+        this(listLags, listGaps, lateAnswers, nextLives, addressesMove, storeSlow, Set.of());
+    }
+
+    ModelSettings with(ModelPath... taken) {
+        Set<ModelPath> all = EnumSet.noneOf(ModelPath.class);
+        all.addAll(paths);
+        all.addAll(List.of(taken));
+        return new ModelSettings(listLags, listGaps, lateAnswers, nextLives, addressesMove, storeSlow, all);
+    }
+
+    boolean takes(ModelPath path) {
+        return paths.contains(path);
+    }
 }
--- a/core/src/test/java/org/pollensill/dispatch/SimulatedCluster.java
+++ b/core/src/test/java/org/pollensill/dispatch/SimulatedCluster.java
@@ -12,8 +12,15 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 
+import org.pollensill.job.JobRequest;
+import org.pollensill.job.JobStatus;
+import org.pollensill.job.StepSpec;
+import org.pollensill.job.StoredProgress;
 import org.pollensill.job.TaskName;
+import org.pollensill.job.Trait;
+import org.pollensill.json.JsonSyntaxException;
 import org.pollensill.platform.Commit;
+import org.pollensill.platform.Row;
 import org.pollensill.runner.EndKind;
 import org.pollensill.runner.OrderAnswer;
 import org.pollensill.runner.OrderOutcome;
@@ -26,6 +33,8 @@
 final class SimulatedCluster implements SimulatedRunner.Observer {
 
     static final int TIMEOUT_MS = 700;
+    private static final long FIRST_START_MS = 1_000;
+    private static final long DRAIN_REMAINING_MS = 3_000;
     private static final int MIN_DOWN_MS = 20;
     private static final int MAX_DOWN_MS = 600;
     private static final int MAX_LIST_LAG_MS = 1_500;
@@ -43,6 +52,10 @@
     private final Set<TaskName> acknowledged = new HashSet<>();
     private final Map<TaskName, Long> begunAtMs = new HashMap<>();
     private final Map<String, RunnerEntry> published = new HashMap<>();
+    private final Map<String, Integer> publishedRestarts = new HashMap<>();
+    private final Map<String, JobRequest> jobs = new HashMap<>();
+    private final Map<String, Long> cancelledAtMs = new HashMap<>();
+    private final SimulatedGangs gangs = new SimulatedGangs(this);
     private final Map<String, Long> hiddenUntilMs = new HashMap<>();
     private final PriorityQueue<Event> events = new PriorityQueue<>(
             (a, b) -> a.atMs() != b.atMs() ? Long.compare(a.atMs(), b.atMs()) : Long.compare(a.number(), b.number()));
@@ -59,7 +72,7 @@
         this.settings = settings;
         for (int i = 0; i < runnerCount; i++) {
             String id = "r" + i;
-            SimulatedRunner runner = new SimulatedRunner(id, newAddress(), 1, settings.nextLives(), this);
+            SimulatedRunner runner = new SimulatedRunner(id, newAddress(), FIRST_START_MS, settings.nextLives(), this);
             runners.put(id, runner);
             published.put(id, entry(runner));
         }
@@ -77,8 +90,8 @@
                 sample.service(),
                 runner.address,
                 sample.zone(),
-                sample.draining(),
-                sample.remainingMs(),
+                runner.draining,
+                runner.draining ? DRAIN_REMAINING_MS : sample.remainingMs(),
                 sample.capacity(),
                 sample.labels(),
                 sample.incarnationStartMs());
@@ -131,11 +144,75 @@
         while (!events.isEmpty() && events.peek().atMs() <= untilMs) {
             Event event = events.poll();
             nowMs = Math.max(nowMs, event.atMs());
-            runners.values().forEach(runner -> runner.advance(nowMs));
+            advanceRunners();
             event.action().run();
         }
         nowMs = untilMs;
+        advanceRunners();
+    }
+
+    private void advanceRunners() {
         runners.values().forEach(runner -> runner.advance(nowMs));
+        gangs.advance(nowMs);
+    }
+
+    void setJobs(List<JobRequest> requests) {
+        requests.forEach(job -> jobs.put(job.id(), job));
+    }
+
+    StepSpec step(TaskName task) {
+        return jobs.get(task.jobId()).steps().get(task.step());
+    }
+
+    /** Returns whether the cancellation of a job is durable, and records since when. */
+    boolean cancelIsDurable(String jobId) throws JsonSyntaxException {
+        if (cancelledAtMs.containsKey(jobId)) {
+            return true;
+        }
+        StoredProgress progress = new StoredProgress();
+        for (Row row : store.withPrefix(SimulatedLeader.PROGRESS_PREFIX)) {
+            progress.add(row);
+        }
+        boolean durable = progress.take(jobId)
+                .filter(job -> job.status() == JobStatus.CANCELLED)
+                .isPresent();
+        if (durable) {
+            trace("cancel of " + jobId + " is durable");
+            cancelledAtMs.put(jobId, nowMs);
+        }
+        return durable;
+    }
+
+    /** Checks a start order against the due time of its job and against its cancellation, if that is durable. */
+    void onStartSent(TaskName task) {
+        Long sinceMs = cancelledAtMs.get(task.jobId());
+        if (sinceMs != null && nowMs > sinceMs + Dispatcher.unconfirmedStartLimitMs()) {
+            violation(task + " is ordered after its cancellation at " + sinceMs);
+        }
+        if (nowMs < jobs.get(task.jobId()).schedule().dueMs(task.occurrence())) {
+            violation(task + " is ordered before it is due");
+        }
+    }
+
+    Set<TaskName> runningTasks() {
+        return Set.copyOf(runningOn.keySet());
+    }
+
+    /** Lets a runner drain, leave and come back. */
+    void drain(String id) {
+        SimulatedRunner runner = runners.get(id);
+        if (runner.draining || !runner.isUp(nowMs)) {
+            return;
+        }
+        runner.draining = true;
+        trace("drains " + id);
+        publish(runner, settings.listLags() ? random.nextInt(MAX_LIST_LAG_MS) : 0);
+        int restarts = runner.restarts;
+        after(DRAIN_REMAINING_MS + random.nextInt(3_000), () -> {
+            if (runner.restarts == restarts) {
+                restart(id);
+            }
+        });
     }
 
     List<RunnerEntry> listed() {
@@ -179,19 +256,30 @@
     private void beginNextLife(SimulatedRunner runner) {
         long downMs = settings.nextLives() ? MIN_DOWN_MS + random.nextInt(MAX_DOWN_MS - MIN_DOWN_MS) : 0;
         boolean clockGoesOn = settings.nextLives() && random.nextInt(4) == 0;
-        runner.restart(nowMs + downMs, clockGoesOn);
+        // A clock that steps back goes below all former starts or above them, so that no start is the same twice.
+        boolean stepsBack = settings.takes(ModelPath.CLOCK_STEPS_BACK) && random.nextBoolean();
+        long distanceMs = stepsBack ? -(runner.restarts + 1) : runner.restarts + 1;
+        runner.restart(nowMs + downMs, FIRST_START_MS + distanceMs, clockGoesOn);
         trace("restart " + runner.id + " life " + runner.incarnationStartMs + " at " + runner.address + " down "
                 + downMs + (clockGoesOn ? " clock goes on" : ""));
         long lagMs = settings.listLags() ? random.nextInt(MAX_LIST_LAG_MS) : 0;
+        publish(runner, downMs + lagMs);
+    }
+
+    private void publish(SimulatedRunner runner, long delayMs) {
         RunnerEntry next = entry(runner);
-        if (downMs + lagMs == 0) {
+        int restarts = runner.restarts;
+        if (delayMs == 0) {
             published.put(runner.id, next);
+            publishedRestarts.put(runner.id, restarts);
             return;
         }
-        after(downMs + lagMs, () -> {
-            if (published.get(runner.id).incarnationStartMs() < next.incarnationStartMs()) {
+        after(delayMs, () -> {
+            int present = publishedRestarts.getOrDefault(runner.id, 0);
+            if (present < restarts || present == restarts && next.draining()) {
                 trace("listed " + runner.id + " life " + next.incarnationStartMs() + " at " + next.address());
                 published.put(runner.id, next);
+                publishedRestarts.put(runner.id, restarts);
             }
         });
     }
@@ -308,7 +396,7 @@
         return Optional.empty();
     }
 
-    private void violation(String text) {
+    void violation(String text) {
         trace("VIOLATION " + text);
         violations.add(nowMs + ": " + text);
     }
@@ -327,10 +415,24 @@
         withoutRun.onBegin(task, nowMs);
     }
 
+    @Override
+    public int percent(TaskName task) {
+        return step(task).hasTrait(Trait.RESTART_ALWAYS) ? 100 : 50;
+    }
+
+    @Override
+    public long plannedEndMs(TaskName task, long usualEndMs) {
+        if (step(task).hasTrait(Trait.RESTART_ALWAYS) || step(task).hasTrait(Trait.GANG)) {
+            return Long.MAX_VALUE;
+        }
+        return usualEndMs;
+    }
+
     @Override
     public void onEnd(String runner, TaskName task, int run, EndKind kind) {
         trace("end " + task + " run " + run + " on " + runner + " " + kind);
         runningOn.remove(task, runner);
+        gangs.onEnd(task, run, kind);
         withoutRun.onEnd(task, kind, nowMs);
     }
 
@@ -338,6 +440,7 @@
     public void onCrash(String runner, TaskName task, int run) {
         trace("crash " + task + " run " + run + " on " + runner);
         runningOn.remove(task, runner);
+        gangs.onEnd(task, run, EndKind.FAILED);
         withoutRun.onCrash(task, nowMs);
     }
 
--- a/core/src/test/java/org/pollensill/dispatch/SimulatedLeader.java
+++ b/core/src/test/java/org/pollensill/dispatch/SimulatedLeader.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -29,13 +30,15 @@
 final class SimulatedLeader implements Orders {
 
     private static final String LEASE_ROW_KEY = "leader/lease";
+    private static final int MAX_PAGE_ROWS = 3;
+    private static final int MAX_PAGE_DELAY_MS = 300;
     private static final long LIST_INTERVAL_MS = 600;
     private static final long EARLY_LIST_INTERVAL_MS = 100;
 
     /** Time in which a late loop handles what has queued. */
     private static final int QUEUE_MS = 30;
 
-    private static final String PROGRESS_PREFIX = "progress/";
+    static final String PROGRESS_PREFIX = "progress/";
 
     private final SimulatedCluster cluster;
     private final long fencingToken;
@@ -45,6 +48,9 @@
     private boolean commitPending;
     private long leaseConfirmedAtMs;
     private long listReadAtMs;
+    private boolean releasing;
+    private boolean ordersClosed;
+    boolean released;
     boolean deposed;
     long pauseEndMs;
 
@@ -68,19 +74,55 @@
         Optional<Row> present = cluster.store.read(LEASE_ROW_KEY);
         long formerFencingToken =
                 present.isPresent() ? LeaderRow.decode(present.get().value()).fencingToken() : 0;
+        boolean formerLeaderIsGone =
+                present.isEmpty() || LeaderRow.decode(present.get().value()).released();
         LeaderRow candidate =
                 new LeaderRow(name, name + formerFencingToken, "", formerFencingToken + 1, 0, false, Map.of());
         CommitChain chain = CommitChain.campaign(
                 LEASE_ROW_KEY, candidate, present.map(Row::version).orElse(0L));
         chain.begin(Map.of(), false, List.of());
         chain.onOutcome(cluster.store.commit(chain.current()));
-        SimulatedLeader leader = new SimulatedLeader(
-                cluster, chain, formerFencingToken == 0 ? 0 : Dispatcher.unconfirmedRenewalLimitMs());
+        SimulatedLeader leader =
+                new SimulatedLeader(cluster, chain, formerLeaderIsGone ? 0 : Dispatcher.unconfirmedRenewalLimitMs());
         leader.dispatcher.setCatalogue(Samples.catalogue(2));
+        if (cluster.settings().takes(ModelPath.PROGRESS_IN_PAGES)) {
+            cluster.trace("takeover " + name + " fence " + leader.fencingToken + " reads pages");
+            leader.readPage(new StoredProgress(), "", jobs);
+            return leader;
+        }
         StoredProgress progress = new StoredProgress();
         for (Row row : cluster.store.withPrefix(PROGRESS_PREFIX)) {
             progress.add(row);
         }
+        leader.load(jobs, progress);
+        cluster.trace("takeover " + name + " fence " + leader.fencingToken);
+        return leader;
+    }
+
+    /** Reads the rows of stored progress that follow a key, at most a page of them, and later the next page. */
+    private void readPage(StoredProgress progress, String afterKey, List<JobRequest> jobs) {
+        List<Row> rows = cluster.store.withPrefix(PROGRESS_PREFIX);
+        rows.removeIf(row -> row.key().compareTo(afterKey) <= 0);
+        rows.sort(Comparator.comparing(Row::key));
+        int count = Math.min(rows.size(), 1 + cluster.random().nextInt(MAX_PAGE_ROWS));
+        try {
+            for (Row row : rows.subList(0, count)) {
+                progress.add(row);
+            }
+            if (count == rows.size()) {
+                load(jobs, progress);
+                return;
+            }
+        } catch (JsonSyntaxException exception) {
+            throw new IllegalStateException(exception);
+        }
+        String lastKey = rows.get(count - 1).key();
+        cluster.after(
+                1 + cluster.random().nextInt(MAX_PAGE_DELAY_MS),
+                () -> whenActive(() -> readPage(progress, lastKey, jobs)));
+    }
+
+    private void load(List<JobRequest> jobs, StoredProgress progress) throws JsonSyntaxException {
         List<JobRequest> loaded = new ArrayList<>(jobs);
         int listReadAfter = jobs.size();
         if (cluster.settings().listLags()) {
@@ -89,13 +131,23 @@
         }
         for (int i = 0; i < loaded.size(); i++) {
             if (i == listReadAfter) {
-                leader.readList();
+                readList();
             }
-            leader.dispatcher.addJob(loaded.get(i), progress.take(loaded.get(i).id()), cluster.nowMs());
+            dispatcher.addJob(loaded.get(i), progress.take(loaded.get(i).id()), cluster.nowMs());
         }
-        leader.dispatcher.startOrders();
-        cluster.trace("takeover " + name + " fence " + leader.fencingToken);
-        return leader;
+        dispatcher.startOrders();
+    }
+
+    void cancel(String jobId) {
+        if (active()) {
+            dispatcher.cancel(jobId, cluster.nowMs());
+        }
+    }
+
+    /** Ends by SIGTERM: the lease is released after the commit in flight. */
+    void release() {
+        cluster.trace("fence " + fencingToken + " is to release its lease");
+        releasing = true;
     }
 
     /** Returns the time since the last confirmed commit was sent. */
@@ -132,7 +184,11 @@
     }
 
     void step() {
-        if (!active()) {
+        if (!active() || released) {
+            return;
+        }
+        if (releasing && !commitPending) {
+            finalRenewals();
             return;
         }
         if (listIsDue()) {
@@ -148,6 +204,16 @@
         send();
     }
 
+    private void finalRenewals() {
+        if (cluster.nowMs() - leaseConfirmedAtMs < Dispatcher.unconfirmedRenewalLimitMs()) {
+            dispatcher.renewLeases(cluster.nowMs());
+        }
+        ordersClosed = true;
+        batchInFlight = Optional.empty();
+        chain.begin(Map.of(), true, List.of());
+        send();
+    }
+
     private void send() {
         commitPending = true;
         long sentMs = cluster.nowMs();
@@ -174,6 +240,12 @@
             case COMMITTED:
                 commitPending = false;
                 leaseConfirmedAtMs = sentMs;
+                if (ordersClosed) {
+                    cluster.trace("fence " + fencingToken + " has released its lease");
+                    released = true;
+                    deposed = true;
+                    return;
+                }
                 batchInFlight.ifPresent(batch -> dispatcher.committed(batch, cluster.nowMs()));
                 return;
             case READ_ROW:
@@ -206,6 +278,10 @@
 
     @Override
     public void start(RunnerAddress to, StartOrder order) {
+        if (ordersClosed) {
+            return;
+        }
+        cluster.onStartSent(order.task());
         String text = "fence " + fencingToken + " start " + order.task() + " run " + order.run() + " to " + to.id();
         cluster.trace(text + " sent, until " + order.leaseEndMs());
         cluster.order(to, runner -> runner.start(order, cluster.nowMs()), untilFinal(OrderAnswer::outcome, answer -> {
@@ -216,6 +292,9 @@
 
     @Override
     public void stop(RunnerAddress to, TaskName task, int run) {
+        if (ordersClosed) {
+            return;
+        }
         String text = "fence " + fencingToken + " stop " + task + " run " + run + " to " + to.id();
         cluster.trace(text + " sent");
         cluster.order(
@@ -229,6 +308,9 @@
 
     @Override
     public void renewLease(RunnerAddress to, RenewalOrder order, long sequence) {
+        if (ordersClosed) {
+            return;
+        }
         String text = "fence " + fencingToken + " renewal " + sequence + " of " + to.id();
         cluster.trace(text + " sent, until " + order.leaseEndMs() + " acknowledges " + order.acknowledgedSequence());
         cluster.renewLease(
--- a/core/src/test/java/org/pollensill/dispatch/SimulatedRunner.java
+++ b/core/src/test/java/org/pollensill/dispatch/SimulatedRunner.java
@@ -33,6 +33,12 @@
 
         void onCrash(String runner, TaskName task, int run);
 
+        /** Returns the progress that a run reports. */
+        int percent(TaskName task);
+
+        /** Returns when a run that begins now completes its task. */
+        long plannedEndMs(TaskName task, long usualEndMs);
+
         void onAcknowledged(String runner, RunnerReport.EndedRun end, long endedAtMs);
     }
 
@@ -44,6 +50,11 @@
     String address;
     long incarnationStartMs;
 
+    /** Number of restarts; unlike the time of the start it always rises. */
+    int restarts;
+
+    boolean draining;
+
     /** Time from which the process of this incarnation runs. */
     long upAtMs;
 
@@ -94,12 +105,30 @@
         ended.add(new End(new RunnerReport.EndedRun(nextEnd++, task, run, kind, ""), leaseExpirations, nowMs));
     }
 
+    Map<TaskName, Integer> runningRuns() {
+        Map<TaskName, Integer> runs = new HashMap<>();
+        running.forEach((task, present) -> runs.put(task, present.run()));
+        return runs;
+    }
+
+    /** Sets the end of a run that has waited for the other members of its gang. */
+    void setEnd(TaskName task, long endsAtMs) {
+        running.computeIfPresent(task, (name, present) -> new Running(present.run(), endsAtMs));
+    }
+
+    void endMember(TaskName task, EndKind kind, long nowMs) {
+        Running present = running.get(task);
+        if (present != null) {
+            end(task, present.run(), kind, nowMs);
+        }
+    }
+
     boolean isUp(long nowMs) {
         return nowMs >= upAtMs;
     }
 
     /** Ends the process and starts the next incarnation at a time; its clock begins anew unless it goes on. */
-    void restart(long startMs, boolean clockGoesOn) {
+    void restart(long startMs, long nextIncarnationStartMs, boolean clockGoesOn) {
         running.forEach((task, run) -> observer.onCrash(id, task, run.run()));
         running.clear();
         highestRun.clear();
@@ -107,7 +136,9 @@
         highestFencingToken = 0;
         leaseEndMs = 0;
         nextEnd = 1;
-        incarnationStartMs++;
+        incarnationStartMs = nextIncarnationStartMs;
+        restarts++;
+        draining = false;
         upAtMs = startMs;
         if (!clockGoesOn) {
             clockStartMs = startMs;
@@ -137,7 +168,8 @@
             return new OrderAnswer(OrderOutcome.OLD_RUN, clockMs);
         }
         highestRun.put(order.task(), order.run());
-        running.put(order.task(), new Running(order.run(), nowMs + TASK_DURATION_MS));
+        running.put(
+                order.task(), new Running(order.run(), observer.plannedEndMs(order.task(), nowMs + TASK_DURATION_MS)));
         observer.onBegin(id, order.task(), order.run());
         return new OrderAnswer(OrderOutcome.ACCEPTED, clockMs);
     }
@@ -174,7 +206,8 @@
             }
         }
         List<RunnerReport.RunningTask> rows = new ArrayList<>();
-        running.forEach((task, run) -> rows.add(new RunnerReport.RunningTask(task, run.run(), "", 50, 0)));
+        running.forEach(
+                (task, run) -> rows.add(new RunnerReport.RunningTask(task, run.run(), "", observer.percent(task), 0)));
         List<RunnerReport.EndedRun> ends = new ArrayList<>();
         ended.forEach(end -> ends.add(end.row()));
         return new RenewalAnswer(
--- a/core/src/test/java/org/pollensill/dispatch/TakeoverPropertyTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/TakeoverPropertyTest.java
@@ -34,6 +34,7 @@
     /** Time without a confirmed commit after which another process may take over from one that goes on. */
     private static final long LEADER_LEASE_MS = 2_200;
 
+    private static final long CANCEL_INTERVAL_MS = 2_000;
     private static final long FAULT_PHASE_MS = 20_000;
     private static final long RECOVERY_LIMIT_MS = 40_000;
 
@@ -98,7 +99,7 @@
         return jobs;
     }
 
-    private static List<JobRequest> jobs() {
+    static List<JobRequest> jobs() {
         List<JobRequest> jobs = new ArrayList<>();
         for (int i = 0; i < JOBS; i++) {
             jobs.add(Samples.job(String.format("%016x", i), Samples.step(3), Samples.after(Samples.step(2), 0)));
@@ -123,14 +124,25 @@
                 ModelSettings.NONE);
     }
 
-    private void play(long seed, List<JobRequest> jobs, ModelSettings settings) throws JsonSyntaxException {
+    void play(long seed, List<JobRequest> jobs, ModelSettings settings) throws JsonSyntaxException {
         SimulatedCluster cluster = run(seed, jobs, settings);
         assertEquals(List.of(), cluster.violations, "seed " + seed);
         assertTrue(currentLeader().allDone(jobs), "seed " + seed + ": a job has not ended");
     }
 
     SimulatedCluster run(long seed, List<JobRequest> jobs, ModelSettings settings) throws JsonSyntaxException {
+        SimulatedCluster cluster = runFaults(seed, jobs, settings);
+        long endMs = cluster.nowMs() + RECOVERY_LIMIT_MS;
+        while (cluster.nowMs() < endMs && !currentLeader().allDone(jobs)) {
+            runOn(cluster, jobs, TICK_MS);
+        }
+        return cluster;
+    }
+
+    /** Plays the phase of the faults and ends them. */
+    SimulatedCluster runFaults(long seed, List<JobRequest> jobs, ModelSettings settings) throws JsonSyntaxException {
         SimulatedCluster cluster = new SimulatedCluster(seed, RUNNERS, settings);
+        cluster.setJobs(jobs);
         leaders.clear();
         takeoverDueAtMs = Long.MAX_VALUE;
         leaders.add(SimulatedLeader.takeOver(cluster, "c0-", jobs));
@@ -139,19 +151,27 @@
         while (cluster.nowMs() < faultPhaseEndMs) {
             injectFault(cluster, jobs);
             injectFurtherFaults(cluster, jobs);
+            followPaths(cluster, jobs);
             advance(cluster);
         }
         cluster.setLossProbability(0);
         cluster.heal();
         leaders.forEach(leader -> leader.pauseEndMs = 0);
-        long endMs = cluster.nowMs() + RECOVERY_LIMIT_MS;
-        while (cluster.nowMs() < endMs && !currentLeader().allDone(jobs)) {
+        return cluster;
+    }
+
+    /** Plays on without faults; a leader that has released its lease is followed by another one. */
+    void runOn(SimulatedCluster cluster, List<JobRequest> jobs, long durationMs) throws JsonSyntaxException {
+        long endMs = cluster.nowMs() + durationMs;
+        while (cluster.nowMs() < endMs) {
+            if (currentLeader().released) {
+                takeOver(cluster, jobs, true);
+            }
             advance(cluster);
         }
-        return cluster;
     }
 
-    private SimulatedLeader currentLeader() {
+    SimulatedLeader currentLeader() {
         return leaders.get(leaders.size() - 1);
     }
 
@@ -162,6 +182,27 @@
         cluster.runUntil(cluster.nowMs() + TICK_MS);
     }
 
+    private void followPaths(SimulatedCluster cluster, List<JobRequest> jobs) throws JsonSyntaxException {
+        ModelSettings settings = cluster.settings();
+        if (currentLeader().released) {
+            takeOver(cluster, jobs, true);
+        }
+        if (settings.takes(ModelPath.RUNNERS_DRAIN) && cluster.random().nextInt(1_000) < 8) {
+            cluster.drain("r" + cluster.random().nextInt(RUNNERS));
+        }
+        if (settings.takes(ModelPath.LEADER_ENDS_GRACEFULLY) && cluster.random().nextInt(1_000) < 8) {
+            currentLeader().release();
+        }
+        if (settings.takes(ModelPath.JOBS_CANCELLED)) {
+            for (int i = 0; i < jobs.size(); i += 2) {
+                String id = jobs.get(i).id();
+                if (cluster.nowMs() >= CANCEL_INTERVAL_MS * (i + 1) && !cluster.cancelIsDurable(id)) {
+                    currentLeader().cancel(id);
+                }
+            }
+        }
+    }
+
     private void injectFault(SimulatedCluster cluster, List<JobRequest> jobs) throws JsonSyntaxException {
         int roll = cluster.random().nextInt(1_000);
         String runner = "r" + cluster.random().nextInt(RUNNERS);
