--- a/core/src/test/java/org/pollensill/dispatch/RelatedPathsPropertyTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/RelatedPathsPropertyTest.java
@@ -9,7 +9,6 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
-import net.jqwik.api.Tag;
 import net.jqwik.api.constraints.LongRange;
 import org.pollensill.job.JobRequest;
 import org.pollensill.job.JobSchedule;
@@ -91,7 +90,6 @@
                 Samples.job(id(1), Samples.step(3)));
     }
 
-    @Tag("known-red")
     @Property(tries = TRIES, seed = "20261301", shrinking = ShrinkingMode.OFF)
     void shouldRunNoMemberOfAGangTwice(@ForAll @LongRange(min = 0, max = 1_000_000) long seed)
             throws JsonSyntaxException {
@@ -159,7 +157,6 @@
         assertEquals(List.of(), cluster.violations, "seed " + seed);
     }
 
-    @Tag("known-red")
     @Property(tries = TRIES, seed = "20261310", shrinking = ShrinkingMode.OFF)
     void shouldUseARunnerAgainWhoseNextLifeStartsAtASmallerTime(@ForAll @LongRange(min = 0, max = 1_000_000) long seed)
             throws JsonSyntaxException {
