--- /dev/null
+++ b/soak/src/main/java/org/pollensill/soak/client/package-info.java
@@ -0,0 +1,2 @@
+/** Clients that submit jobs and poll them. */
+package org.pollensill.soak.client;
--- /dev/null
+++ b/soak/src/main/java/org/pollensill/soak/fault/FaultPlan.java
@@ -0,0 +1,58 @@
+package org.pollensill.soak.fault;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+
+/**
+ * The faults of a play in order of time.
+ *
+ * @param faults the faults
+ */
+public record FaultPlan(List<Fault> faults) {
+
+    private static final int MIN_KINDS = 4;
+    private static final int MORE_KINDS = 8;
+    private static final int MIN_GAP_MS = 100;
+    private static final int[] MEAN_GAPS_MS = {400, 800, 1_600};
+    private static final int MIN_DURATION_MS = 200;
+    private static final int MORE_DURATION_MS = 4_000;
+
+    /**
+     * Creates a plan.
+     *
+     * @throws NullPointerException if the list is null
+     */
+    public FaultPlan {
+        faults = List.copyOf(faults);
+    }
+
+    /**
+     * Draws a plan. Each seed draws a few kinds of faults and how often they come.
+     *
+     * @param seed the seed
+     * @param durationMs time during which faults begin, in milliseconds
+     * @return the plan
+     */
+    public static FaultPlan draw(long seed, long durationMs) {
+        Random random = new Random(seed);
+        List<Fault.Kind> kinds = new ArrayList<>(List.of(Fault.Kind.values()));
+        Collections.shuffle(kinds, random);
+        kinds = kinds.subList(0, MIN_KINDS + random.nextInt(MORE_KINDS));
+        int meanGapMs = MEAN_GAPS_MS[random.nextInt(MEAN_GAPS_MS.length)];
+        List<Fault> faults = new ArrayList<>();
+        long atMs = 0;
+        while (true) {
+            atMs += MIN_GAP_MS + random.nextInt(2 * meanGapMs);
+            if (atMs > durationMs) {
+                return new FaultPlan(faults);
+            }
+            faults.add(new Fault(
+                    kinds.get(random.nextInt(kinds.size())),
+                    atMs,
+                    MIN_DURATION_MS + (long) (MORE_DURATION_MS * Math.pow(random.nextDouble(), 2)),
+                    random.nextLong()));
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/org/pollensill/soak/fault/package-info.java
@@ -0,0 +1,2 @@
+/** Faults by a seeded plan. */
+package org.pollensill.soak.fault;
--- /dev/null
+++ b/soak/src/main/java/org/pollensill/soak/process/package-info.java
@@ -0,0 +1,2 @@
+/** Coordinators as processes. */
+package org.pollensill.soak.process;
--- /dev/null
+++ b/soak/src/main/java/org/pollensill/soak/runner/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in runners. */
+package org.pollensill.soak.runner;
--- /dev/null
+++ b/soak/src/main/java/org/pollensill/soak/store/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of the platform's store. */
+package org.pollensill.soak.store;
--- /dev/null
+++ b/soak/src/main/java/org/pollensill/soak/trouble/package-info.java
@@ -0,0 +1,2 @@
+/** Disturbed handling of calls. */
+package org.pollensill.soak.trouble;
