--- a/soak/src/main/java/org/pollensill/soak/Play.java
+++ b/soak/src/main/java/org/pollensill/soak/Play.java
@@ -46,10 +46,13 @@
 
     private static final long CALM_MS = 1_500;
     private static final long CHECK_MS = 200;
+    private static final long CLOSE_BOUND_MS = 10_000;
     /** Time without faults in which rules are checked, at least. */
     private static final long CALM_END_MS = 4_000;
 
-    private static final double JOBS_PER_RUNNER_S = 0.8;
+    /** Loads of a play, as jobs per runner and second. With the lowest, runners have no work now and then. */
+    private static final double[] JOBS_PER_RUNNER_S = {0.1, 0.3, 0.8};
+
     private static final int STORE_PORT = 8169;
     private static final int OWN_NETWORKS = 200;
 
@@ -118,7 +121,8 @@
             play.endProcesses();
             Runtime.getRuntime().removeShutdownHook(hook);
             play.executor.shutdownGracefully(0, CHECK_MS, TimeUnit.MILLISECONDS);
-            play.group.shutdownGracefully(0, CHECK_MS, TimeUnit.MILLISECONDS);
+            // The next play listens at the same addresses.
+            play.group.shutdownGracefully(0, CHECK_MS, TimeUnit.MILLISECONDS).awaitUninterruptibly(CLOSE_BOUND_MS);
         }
     }
 
@@ -230,7 +234,7 @@
                 loop,
                 checker,
                 coordinators.coordinators(),
-                JOBS_PER_RUNNER_S * options.runners(),
+                JOBS_PER_RUNNER_S[random.nextInt(JOBS_PER_RUNNER_S.length)] * options.runners(),
                 new Random(random.nextLong()));
         injector = new FaultInjector(loop, coordinators, runners, storeCalls, this::configure, this::log);
         long faultsMs = options.seconds() * 1_000L;
--- a/soak/src/main/java/org/pollensill/soak/fault/FaultInjector.java
+++ b/soak/src/main/java/org/pollensill/soak/fault/FaultInjector.java
@@ -26,7 +26,7 @@
     private static final int MORE_PAUSE_MS = 5_800;
     private static final int RESTARTED_WITHIN_MS = 3_000;
     private static final long MIN_LATE_MS = 100;
-    private static final long MAX_LATE_MS = 3_000;
+    private static final long MAX_LATE_MS = 5_000;
     private static final long MAX_SLOW_STORE_MS = 700;
     private static final int BUSY_THREADS = 2;
     private static final double MOST = 0.6;
@@ -184,7 +184,7 @@
                 return;
             case ENTRIES_VANISH_ANSWERS_LATE:
                 disturbRunners(late, fault, chosen);
-                chosen.forEach(runner -> hide(runner, random));
+                chosen.forEach(runner -> loop.later(random.nextInt(MAX_DOWN_MS), () -> hide(runner, random)));
                 return;
             case RUNNERS_RESTARTED_ANSWERS_LATE:
                 disturbRunners(late, fault, chosen);
--- /dev/null
+++ b/soak/src/test/java/org/pollensill/soak/check/RuleCheckerTest.java
@@ -0,0 +1,148 @@
+package org.pollensill.soak.check;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Guards against a soak that overlooks a broken rule, or that reports what the rules allow. */
+class RuleCheckerTest {
+
+    private static final String JOB = "00000000000000aa";
+    private static final String FIRST = JOB + ".0.0.0";
+    private static final String SECOND = JOB + ".0.1.0";
+    private static final RunnerLife LIFE = new RunnerLife("r1", 100);
+    private static final RunnerLife OTHER = new RunnerLife("r2", 200);
+
+    private final RuleChecker checker = RuleChecker.create();
+
+    private static StepShape step(boolean gang, boolean lasting, Integer... predecessors) {
+        return new StepShape(gang ? 2 : 1, 100, 100, List.of(predecessors), gang, lasting, 0);
+    }
+
+    private List<String> rules() {
+        return checker.violations().stream().map(Violation::rule).toList();
+    }
+
+    private void submit(StepShape... steps) {
+        checker.submitted(new JobShape(JOB, List.of(steps)));
+        checker.accepted(JOB, 0);
+    }
+
+    @Test
+    void shouldReportTwoRunsAtOnce() {
+        submit(step(false, false));
+        checker.started(LIFE, FIRST, 1, 1, 0, 10);
+        checker.started(OTHER, FIRST, 2, 1, 0, 20);
+        assertEquals(List.of("TWICE"), rules());
+    }
+
+    @Test
+    void shouldAllowARunAfterTheRunnerCrashed() {
+        submit(step(false, false));
+        checker.started(LIFE, FIRST, 1, 1, 0, 10);
+        checker.crashed(LIFE, 15);
+        checker.started(OTHER, FIRST, 2, 1, 0, 20);
+        assertEquals(List.of(), rules());
+    }
+
+    @Test
+    void shouldReportAStartAfterAnAcknowledgedEnd() {
+        submit(step(false, false));
+        checker.started(LIFE, FIRST, 1, 1, 0, 10);
+        checker.ended(LIFE, FIRST, 1, "done", 1, 20);
+        checker.acknowledged(LIFE, 1, 1, 30);
+        checker.started(OTHER, FIRST, 2, 1, 0, 40);
+        assertEquals(List.of("TWICE"), rules());
+    }
+
+    @Test
+    void shouldReportAnEndThatIsAcknowledgedAfterALaterStart() {
+        submit(step(false, false));
+        checker.started(LIFE, FIRST, 1, 1, 0, 10);
+        checker.ended(LIFE, FIRST, 1, "done", 1, 20);
+        checker.started(OTHER, FIRST, 2, 1, 0, 30);
+        checker.acknowledged(LIFE, 1, 1, 40);
+        assertEquals(List.of("TWICE"), rules());
+    }
+
+    @Test
+    void shouldAllowAnotherRunIfTheLeaseLapsedBeforeTheAcknowledgement() {
+        submit(step(false, false));
+        checker.started(LIFE, FIRST, 1, 1, 0, 10);
+        checker.ended(LIFE, FIRST, 1, "done", 1, 20);
+        checker.lapsed(LIFE, 25);
+        checker.started(OTHER, FIRST, 2, 1, 0, 30);
+        checker.acknowledged(LIFE, 1, 1, 40);
+        assertEquals(List.of(), rules());
+    }
+
+    @Test
+    void shouldReportALapseAfterTheAcknowledgement() {
+        submit(step(false, false));
+        checker.started(LIFE, FIRST, 1, 1, 0, 10);
+        checker.ended(LIFE, FIRST, 1, "done", 1, 20);
+        checker.acknowledged(LIFE, 1, 1, 25);
+        checker.lapsed(LIFE, 30);
+        checker.started(OTHER, FIRST, 2, 1, 0, 40);
+        assertEquals(List.of("TWICE"), rules());
+    }
+
+    @Test
+    void shouldAllowALastingTaskToRunAgain() {
+        submit(step(false, true));
+        checker.started(LIFE, FIRST, 1, 1, 0, 10);
+        checker.ended(LIFE, FIRST, 1, "done", 1, 20);
+        checker.acknowledged(LIFE, 1, 1, 25);
+        checker.started(OTHER, FIRST, 2, 1, 0, 40);
+        assertEquals(List.of(), rules());
+    }
+
+    @Test
+    void shouldReportAStartBeforeTheStepBefore() {
+        submit(step(false, false), step(false, false, 0));
+        checker.started(LIFE, FIRST, 1, 1, 0, 10);
+        checker.started(LIFE, SECOND, 1, 1, 0, 20);
+        assertEquals(List.of("ORDER"), rules());
+    }
+
+    @Test
+    void shouldTakeOneEndForAGang() {
+        submit(step(true, false), step(false, false, 0));
+        checker.started(LIFE, FIRST, 1, 1, 0, 10);
+        checker.ended(LIFE, FIRST, 1, "done", 1, 20);
+        checker.started(LIFE, SECOND, 1, 1, 0, 30);
+        assertEquals(List.of(), rules());
+    }
+
+    @Test
+    void shouldReportAJobThatIsNotDone() {
+        submit(step(false, false));
+        checker.finish(100);
+        assertEquals(List.of("LOST"), rules());
+    }
+
+    @Test
+    void shouldReportAnUnknownJob() {
+        submit(step(false, false));
+        checker.shown(JOB, "unknown", "c1", 10_000);
+        assertEquals(List.of("LOST"), rules());
+    }
+
+    @Test
+    void shouldReportAJobThatIsDoneTooSoon() {
+        submit(step(false, false));
+        checker.shown(JOB, "done", "c1", 10);
+        assertEquals(List.of("MIXED"), rules());
+    }
+
+    @Test
+    void shouldAllowACancelledJobToBeUnfinished() {
+        submit(step(false, false));
+        checker.cancelled(JOB, 10);
+        checker.shown(JOB, "cancelled", "c1", 20);
+        checker.finish(100);
+        assertEquals(List.of(), rules());
+    }
+}
