--- a/soak/src/main/java/org/pollensill/soak/fault/Fault.java
+++ b/soak/src/main/java/org/pollensill/soak/fault/Fault.java
@@ -54,6 +54,8 @@
         STORE_SLOW,
         /** The store is silent for some coordinators. */
         STORE_SILENT,
+        /** The store is silent for all, and entries of runners lapse meanwhile. */
+        STORE_DOWN,
         /** The store refuses calls of some coordinators. */
         STORE_REFUSES,
         /** The store performs writes late and does not answer them. */
--- a/soak/src/main/java/org/pollensill/soak/fault/FaultInjector.java
+++ b/soak/src/main/java/org/pollensill/soak/fault/FaultInjector.java
@@ -21,6 +21,9 @@
     private static final int MIN_DOWN_MS = 20;
     private static final int MAX_ENTRY_DELAY_MS = 1_500;
     private static final int MIN_HIDDEN_MS = 300;
+    /** Time after the return of the store within which entries that lapsed are back. */
+    private static final int ENTRY_BACK_MS = 2_000;
+
     private static final int MORE_HIDDEN_MS = 2_700;
     private static final int MIN_PAUSE_MS = 200;
     private static final int MORE_PAUSE_MS = 5_800;
@@ -133,6 +136,14 @@
             case STORE_SILENT:
                 disturbStore(new Trouble(Trouble.Kind.SILENT, 1, 0, 0), fault, some(storeCalls, random));
                 return true;
+            case STORE_DOWN:
+                disturbStore(new Trouble(Trouble.Kind.SILENT, 1, 0, 0), fault, storeCalls);
+                for (StandinRunner runner : runners.runners()) {
+                    if (random.nextDouble() < MOST) {
+                        hide(runner, fault.durationMs() + random.nextInt(ENTRY_BACK_MS));
+                    }
+                }
+                return true;
             case STORE_REFUSES:
                 disturbStore(new Trouble(Trouble.Kind.REFUSED, MOST, 0, 0), fault, some(storeCalls, random));
                 return true;
@@ -180,11 +191,11 @@
                         new Trouble(Trouble.Kind.CARRIED_OUT_LATE, MOST, MIN_LATE_MS, MAX_LATE_MS), fault, chosen);
                 return;
             case ENTRIES_VANISH:
-                chosen.forEach(runner -> hide(runner, random));
+                chosen.forEach(runner -> hide(runner, hiddenMs(random)));
                 return;
             case ENTRIES_VANISH_ANSWERS_LATE:
                 disturbRunners(late, fault, chosen);
-                chosen.forEach(runner -> loop.later(random.nextInt(MAX_DOWN_MS), () -> hide(runner, random)));
+                chosen.forEach(runner -> loop.later(random.nextInt(MAX_DOWN_MS), () -> hide(runner, hiddenMs(random))));
                 return;
             case RUNNERS_RESTARTED_ANSWERS_LATE:
                 disturbRunners(late, fault, chosen);
@@ -268,8 +279,11 @@
         }
     }
 
-    private void hide(StandinRunner runner, Random random) {
-        long durationMs = MIN_HIDDEN_MS + random.nextInt(MORE_HIDDEN_MS);
+    private static long hiddenMs(Random random) {
+        return MIN_HIDDEN_MS + random.nextInt(MORE_HIDDEN_MS);
+    }
+
+    private void hide(StandinRunner runner, long durationMs) {
         log.accept("the entry of " + runner.id() + " vanishes for " + durationMs + " ms");
         runner.hideEntry(durationMs);
     }
--- a/soak/src/main/java/org/pollensill/soak/runner/RunnerFleet.java
+++ b/soak/src/main/java/org/pollensill/soak/runner/RunnerFleet.java
@@ -46,18 +46,11 @@
             List<String> zones,
             Random random) {
         RunnerFleet fleet = new RunnerFleet(loop);
-        Gangs gangs = new Gangs();
+        RunnerProcess.Surroundings around =
+                new RunnerProcess.Surroundings(loop, store, checker, new Gangs(), fleet, ip);
         for (int i = 0; i < count; i++) {
             RunnerProcess runner = new RunnerProcess(
-                    loop,
-                    store,
-                    checker,
-                    gangs,
-                    fleet,
-                    ip,
-                    "i-7f3a91c" + i,
-                    zones.get(i % zones.size()),
-                    new Random(random.nextLong()));
+                    around, "i-7f3a91c" + i, zones.get(i % zones.size()), new Random(random.nextLong()));
             fleet.runners.add(runner);
             runner.begin(fleet.freshPort(), 0);
         }
--- a/soak/src/main/java/org/pollensill/soak/runner/RunnerProcess.java
+++ b/soak/src/main/java/org/pollensill/soak/runner/RunnerProcess.java
@@ -61,6 +61,10 @@
     private long bornMs;
     private int hidden;
 
+    /** What the runners of a play share. */
+    record Surroundings(
+            PlayLoop loop, StandinStore store, RuleChecker checker, Gangs gangs, RunnerFleet fleet, String ip) {}
+
     private record EndedRun(long number, String task, int run, String how) {}
 
     private record WaitingHold(Responder responder) {}
@@ -96,22 +100,13 @@
         }
     }
 
-    RunnerProcess(
-            PlayLoop loop,
-            StandinStore store,
-            RuleChecker checker,
-            Gangs gangs,
-            RunnerFleet fleet,
-            String ip,
-            String id,
-            String zone,
-            Random random) {
-        this.loop = loop;
-        this.store = store;
-        this.checker = checker;
-        this.gangs = gangs;
-        this.fleet = fleet;
-        this.ip = ip;
+    RunnerProcess(Surroundings around, String id, String zone, Random random) {
+        this.loop = around.loop();
+        this.store = around.store();
+        this.checker = around.checker();
+        this.gangs = around.gangs();
+        this.fleet = around.fleet();
+        this.ip = around.ip();
         this.id = id;
         this.zone = zone;
         this.random = random;
