--- a/soak/src/main/java/org/pollensill/soak/fault/Fault.java
+++ b/soak/src/main/java/org/pollensill/soak/fault/Fault.java
@@ -36,6 +36,8 @@
         RUNNERS_SILENT,
         /** Runners refuse orders as unhealthy. */
         RUNNERS_UNHEALTHY,
+        /** All runners answer late for some seconds, as over a slow link of the leader. */
+        ANSWERS_SLOW,
         /** Runners answer late, and out of order. */
         ANSWERS_LATE,
         /** Runners carry out orders, and the answers are lost. */
--- a/soak/src/main/java/org/pollensill/soak/fault/FaultInjector.java
+++ b/soak/src/main/java/org/pollensill/soak/fault/FaultInjector.java
@@ -19,6 +19,9 @@
 
     private static final int MAX_DOWN_MS = 2_000;
     private static final int MIN_DOWN_MS = 20;
+    /** Time for which a leader may believe in the former life of a runner. */
+    private static final int MAX_BELIEF_MS = 900;
+
     private static final int MAX_ENTRY_DELAY_MS = 1_500;
     private static final int MIN_HIDDEN_MS = 300;
     /** Time after the return of the store within which entries that lapsed are back. */
@@ -32,6 +35,8 @@
     private static final long MIN_LATE_MS = 100;
     private static final long MAX_LATE_MS = 5_000;
     private static final long MAX_SLOW_STORE_MS = 700;
+    private static final Trouble SLOW_LINK = new Trouble(Trouble.Kind.ANSWER_LATE, 1, 100, 1_200);
+    private static final long SLOW_LINK_MS = 6_000;
     private static final int BUSY_THREADS = 2;
     private static final double MOST = 0.6;
 
@@ -181,6 +186,10 @@
             case RUNNERS_UNHEALTHY:
                 disturbRunners(new Trouble(Trouble.Kind.REFUSED, MOST, 0, 0), fault, chosen);
                 return;
+            case ANSWERS_SLOW:
+                runners.runners().forEach(runner -> runner.calls().disturb(SLOW_LINK, SLOW_LINK_MS));
+                log.accept("all runners: " + SLOW_LINK + " for " + SLOW_LINK_MS + " ms");
+                return;
             case ANSWERS_LATE:
                 disturbRunners(late, fault, chosen);
                 return;
@@ -202,10 +211,7 @@
                 chosen.forEach(runner -> restart(runner, runner.port(), random));
                 return;
             case RUNNERS_RESTARTED_LEADER_KILLED:
-                chosen.forEach(runner -> restart(runner, runner.port(), random));
-                loop.later(
-                        random.nextInt(MAX_DOWN_MS),
-                        () -> coordinators.leader().ifPresent(leader -> kill(leader, downMs(random))));
+                restartBeforeTakeover(chosen, random);
                 return;
             default:
                 throw new IllegalStateException("unknown kind " + fault.kind());
@@ -255,12 +261,26 @@
         }
     }
 
+    /** Restarts runners that answer late, and kills the leader before it can know and record the new lives. */
+    private void restartBeforeTakeover(List<StandinRunner> chosen, Random random) {
+        for (StandinRunner runner : chosen) {
+            runner.calls().disturb(SLOW_LINK, MAX_BELIEF_MS);
+            restart(runner, runner.port(), MIN_DOWN_MS + random.nextInt(MIN_DOWN_MS), random.nextInt(MAX_BELIEF_MS));
+        }
+        loop.later(
+                MIN_DOWN_MS + random.nextInt(MAX_BELIEF_MS),
+                () -> coordinators.leader().ifPresent(leader -> kill(leader, downMs(random))));
+    }
+
     private void restart(StandinRunner runner, int port, Random random) {
+        long entryDelayMs = random.nextBoolean() ? 0 : random.nextInt(MAX_ENTRY_DELAY_MS);
+        restart(runner, port, downMs(random), entryDelayMs);
+    }
+
+    private void restart(StandinRunner runner, int port, long downMs, long entryDelayMs) {
         if (!runner.up()) {
             return;
         }
-        long downMs = downMs(random);
-        long entryDelayMs = random.nextBoolean() ? 0 : random.nextInt(MAX_ENTRY_DELAY_MS);
         log.accept(runner.id() + " crashes, is back after " + downMs + " ms at port " + port + ", entry after "
                 + entryDelayMs + " ms more");
         runner.crash();
@@ -288,14 +308,16 @@
         runner.hideEntry(durationMs);
     }
 
-    /** Holds back answers for a moment in which entries vanish; the answers arrive when the entries are back. */
+    /** Holds back answers for a moment in which entries vanish; some arrive when the entries are back. */
     private void holdBackAndHide(List<StandinRunner> chosen, Random random) {
         for (StandinRunner runner : chosen) {
             long heldMs = MIN_HIDDEN_MS + random.nextInt(MAX_HELD_MS);
-            Trouble held = new Trouble(Trouble.Kind.ANSWER_LATE, 1, heldMs, heldMs + MAX_HELD_MS);
+            Trouble held = new Trouble(Trouble.Kind.ANSWER_LATE, MOST / 2, heldMs, heldMs + MAX_LATE_MS);
             log.accept(runner.id() + ": " + held + " for " + heldMs + " ms");
             runner.calls().disturb(held, heldMs);
-            loop.later(random.nextInt((int) heldMs), () -> hide(runner, MIN_HIDDEN_MS + random.nextInt(MAX_HELD_MS)));
+            loop.later(
+                    random.nextInt((int) heldMs),
+                    () -> hide(runner, 2 * MIN_HIDDEN_MS + random.nextInt(MIN_HIDDEN_MS)));
         }
     }
 
--- a/soak/src/main/java/org/pollensill/soak/trouble/TroubledCalls.java
+++ b/soak/src/main/java/org/pollensill/soak/trouble/TroubledCalls.java
@@ -59,7 +59,8 @@
      * @param durationMs the time in milliseconds
      */
     public void disturb(Trouble trouble, long durationMs) {
-        active.add(trouble);
+        // The newest one is tried first, so that one that disturbs all calls hides no other.
+        active.add(0, trouble);
         loop.later(durationMs, () -> active.remove(trouble));
     }
 
