--- a/soak/src/main/java/org/pollensill/soak/Play.java
+++ b/soak/src/main/java/org/pollensill/soak/Play.java
@@ -91,6 +91,9 @@
      */
     static PlayResult play(SoakOptions options, long seed) throws IOException, InterruptedException {
         Path folder = options.logs().resolve(String.valueOf(seed));
+        if (Files.exists(folder)) {
+            delete(folder);
+        }
         Files.createDirectories(folder);
         Play play = new Play(options, seed, folder);
         Thread hook = new Thread(play::endProcesses, "end-processes");
--- a/soak/src/main/java/org/pollensill/soak/fault/FaultInjector.java
+++ b/soak/src/main/java/org/pollensill/soak/fault/FaultInjector.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.function.Consumer;
 
@@ -47,6 +48,8 @@
     private final Runnable configure;
     private final Consumer<String> log;
     private boolean active = true;
+    /** Fencing token of the leader that was ended last. */
+    private long endedToken;
 
     /**
      * Creates an injector.
@@ -99,10 +102,10 @@
         Random random = new Random(fault.seed());
         switch (fault.kind()) {
             case LEADER_KILLED:
-                coordinators.leader().ifPresent(leader -> kill(leader, downMs(random)));
+                workingLeader().ifPresent(leader -> kill(leader, downMs(random)));
                 return;
             case LEADER_TERMINATED:
-                coordinators.leader().ifPresent(leader -> terminate(leader, downMs(random)));
+                workingLeader().ifPresent(leader -> terminate(leader, downMs(random)));
                 return;
             case LEADER_PAUSED:
                 coordinators.leader().ifPresent(leader -> pause(leader, random));
@@ -211,13 +214,24 @@
                 chosen.forEach(runner -> restart(runner, runner.port(), random));
                 return;
             case RUNNERS_RESTARTED_LEADER_KILLED:
-                restartBeforeTakeover(chosen, random);
+                if (coordinators.fencingToken() != endedToken) {
+                    restartBeforeTakeover(chosen, random);
+                }
                 return;
             default:
                 throw new IllegalStateException("unknown kind " + fault.kind());
         }
     }
 
+    /** Returns the leader, empty if it was ended already and no other one has taken over since. */
+    private Optional<Coordinator> workingLeader() {
+        if (coordinators.fencingToken() == endedToken) {
+            return Optional.empty();
+        }
+        endedToken = coordinators.fencingToken();
+        return coordinators.leader();
+    }
+
     private static <T> T one(List<T> all, Random random) {
         return all.get(random.nextInt(all.size()));
     }
@@ -269,7 +283,7 @@
         }
         loop.later(
                 MIN_DOWN_MS + random.nextInt(MAX_BELIEF_MS),
-                () -> coordinators.leader().ifPresent(leader -> kill(leader, downMs(random))));
+                () -> workingLeader().ifPresent(leader -> kill(leader, downMs(random))));
     }
 
     private void restart(StandinRunner runner, int port, Random random) {
--- a/soak/src/main/java/org/pollensill/soak/fault/FaultPlan.java
+++ b/soak/src/main/java/org/pollensill/soak/fault/FaultPlan.java
@@ -16,7 +16,7 @@
     private static final int MIN_KINDS = 4;
     private static final int MORE_KINDS = 8;
     private static final int MIN_GAP_MS = 100;
-    private static final int[] MEAN_GAPS_MS = {400, 800, 1_600};
+    private static final int[] MEAN_GAPS_MS = {500, 1_500, 4_000};
     private static final int MIN_DURATION_MS = 200;
     private static final int MORE_DURATION_MS = 4_000;
 
