--- a/core/src/main/java/org/pollensill/dispatch/AnswerHandler.java
+++ b/core/src/main/java/org/pollensill/dispatch/AnswerHandler.java
@@ -86,7 +86,7 @@
             return;
         }
         if (answer.outcome() == OrderOutcome.OTHER_RUNNER) {
-            reportHandler.onOtherRunner(runner, nowMs);
+            reportHandler.onOtherRunner(runner, sequence, nowMs);
             runner.nextRenewalAtMs = nowMs + DispatchTiming.UNRECORDED_RENEWAL_INTERVAL_MS;
             return;
         }
@@ -99,12 +99,14 @@
     private void onReport(RunnerState runner, long sequence, RunnerReport report, long nowMs) {
         long incarnationStartMs = report.incarnationStartMs();
         boolean late = sequence != runner.renewalSequence;
-        if (late && incarnationStartMs < runner.incarnationStartMs) {
+        boolean otherIncarnation = incarnationStartMs != 0 && incarnationStartMs != runner.incarnationStartMs;
+        boolean overtaken = sequence < runner.lastReportSequence;
+        if (otherIncarnation && (overtaken || late && incarnationStartMs < runner.incarnationStartMs)) {
             // The report may be of an earlier incarnation, whose runs are released already.
             return;
         }
-        if (incarnationStartMs != 0 && incarnationStartMs != runner.incarnationStartMs) {
-            reportHandler.beginIncarnation(runner, report, nowMs);
+        if (otherIncarnation) {
+            reportHandler.beginIncarnation(runner, sequence, report, nowMs);
         }
         if (reportHandler.apply(runner, sequence, report, nowMs)) {
             interferenceController.apply(runner, report, nowMs);
--- a/core/src/main/java/org/pollensill/dispatch/Fleet.java
+++ b/core/src/main/java/org/pollensill/dispatch/Fleet.java
@@ -9,21 +9,29 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.pollensill.runner.RunnerClock;
 import org.pollensill.runner.RunnerEntry;
 
 /** Registry of the runners, by identity. */
 final class Fleet {
 
+    /**
+     * Number of reads of the list after which an entry that is still older than the incarnation known of a silent
+     * runner is that of a later one, which began after its wall clock had been stepped back.
+     */
+    private static final int MIN_OLDER_ENTRY_READS = 10;
+
     private final Map<String, RunnerState> runners = new LinkedHashMap<>();
-    private final long inheritedLeaseExpiryAtMs;
+    private final long formerLeaderStoppedAtMs;
+    private long lastRenewal;
 
     /**
      * Creates an empty fleet.
      *
-     * @param inheritedLeaseExpiryAtMs local time at which all leases of former leaders are guaranteed to have expired
+     * @param formerLeaderStoppedAtMs local time from which no former leader sends orders any more
      */
-    Fleet(long inheritedLeaseExpiryAtMs) {
-        this.inheritedLeaseExpiryAtMs = inheritedLeaseExpiryAtMs;
+    Fleet(long formerLeaderStoppedAtMs) {
+        this.formerLeaderStoppedAtMs = formerLeaderStoppedAtMs;
     }
 
     Collection<RunnerState> all() {
@@ -46,16 +54,38 @@
 
     /** Returns the runner that a stored placement refers to, and creates it if it is not listed yet. */
     RunnerState getOrCreate(String id, long incarnationStartMs) {
-        RunnerState runner = runners.computeIfAbsent(id, key -> create(key, incarnationStartMs));
-        return runner;
+        return runners.computeIfAbsent(id, key -> create(key, incarnationStartMs));
     }
 
     private RunnerState create(String id, long incarnationStartMs) {
         RunnerState runner = new RunnerState(id, incarnationStartMs);
-        runner.inheritedLeaseExpiryAtMs = inheritedLeaseExpiryAtMs;
+        runner.inheritedLeaseExpiryAtMs = leaseExpiryAtMs(DispatchTiming.LEASE_MS);
+        // Renewals that were sent to this identity before are overtaken by those that follow.
+        runner.renewalSequence = lastRenewal;
+        runner.lastReportSequence = lastRenewal;
         return runner;
     }
 
+    private long leaseExpiryAtMs(long leaseMs) {
+        return formerLeaderStoppedAtMs
+                + RunnerClock.maxLocalDurationMs(leaseMs)
+                + DispatchTiming.LEASE_EXPIRY_MARGIN_MS;
+    }
+
+    /**
+     * Extends the lease that a runner may hold from former leaders: their orders named a time on the clock of another
+     * incarnation, which a runner shortens to no less than its maximum.
+     */
+    void extendInheritedLease(RunnerState runner) {
+        runner.inheritedLeaseExpiryAtMs = leaseExpiryAtMs(DispatchTiming.MAX_LEASE_MS);
+    }
+
+    /** Numbers the next renewal to a runner. The numbers rise over all runners, so they outlast a runner's state. */
+    long nextRenewal(RunnerState runner) {
+        runner.renewalSequence = ++lastRenewal;
+        return lastRenewal;
+    }
+
     /**
      * Updates the list of runners. The tasks of a runner that has restarted stay on it until it reports: its new
      * incarnation knows no fencing token and may have accepted an order of this leader or a former one.
@@ -67,15 +97,21 @@
         for (RunnerEntry entry : entries) {
             listed.add(entry.id());
             RunnerState runner = runners.computeIfAbsent(entry.id(), id -> create(id, entry.incarnationStartMs()));
-            if (entry.incarnationStartMs() > runner.incarnationStartMs) {
+            boolean older = entry.incarnationStartMs() < runner.incarnationStartMs;
+            runner.olderEntryReads = older ? runner.olderEntryReads + 1 : 0;
+            if (older && (runner.isResponsive() || runner.olderEntryReads < MIN_OLDER_ENTRY_READS)) {
+                // The list is older than the runner's own report, which showed a later incarnation.
+                continue;
+            }
+            if (entry.incarnationStartMs() != runner.incarnationStartMs) {
                 if (runner.tasks.isEmpty()) {
                     runner.beginIncarnation(entry.incarnationStartMs());
                 } else {
+                    if (!runner.fenceConfirmed) {
+                        extendInheritedLease(runner);
+                    }
                     runner.requestReport();
                 }
-            } else if (entry.incarnationStartMs() < runner.incarnationStartMs) {
-                // The list is older than the runner's own report, which showed a later incarnation.
-                continue;
             }
             runner.entry = Optional.of(entry);
             runner.listed = true;
--- a/core/src/main/java/org/pollensill/dispatch/JobTable.java
+++ b/core/src/main/java/org/pollensill/dispatch/JobTable.java
@@ -172,7 +172,9 @@
             task.run = stored.run();
             task.failures = stored.failures();
             task.checkpoint = stored.checkpoint();
-            if (stored.done()) {
+            // A completed task whose later run was being stopped keeps its runner until that has ended.
+            task.completed = stored.done() && stored.assignedRunner().isPresent();
+            if (stored.done() && !task.completed) {
                 task.phase = TaskState.Phase.DONE;
                 step.done++;
                 continue;
@@ -181,19 +183,28 @@
                 TaskRecord.RunnerIncarnation assignedRunner =
                         stored.assignedRunner().get();
                 RunnerState runner = fleet.getOrCreate(assignedRunner.runnerId(), assignedRunner.incarnationStartMs());
-                if (runner.incarnationStartMs == assignedRunner.incarnationStartMs()) {
-                    task.phase = TaskState.Phase.ORDERED;
-                    task.runner = runner;
-                    task.placedIncarnationStartMs = assignedRunner.incarnationStartMs();
-                    task.startedAtMs = nowMs;
-                    task.progressAtMs = nowMs;
-                    task.paceChangedAtMs = nowMs;
-                    task.paceUnknown = step.spec.hasTrait(Trait.FILLS);
-                    task.starvedSinceMs = nowMs;
-                    // Any report counts: a runner that reports to this leader already refuses orders of former leaders.
-                    task.confirmedAtRenewal = -1;
-                    runner.add(task);
+                if (runner.incarnationStartMs != assignedRunner.incarnationStartMs()) {
+                    // Orders name the runner alone, so the run may be at work in either incarnation.
+                    fleet.extendInheritedLease(runner);
+                    listener.incarnationMismatch(
+                            task.name,
+                            task.run,
+                            runner.id,
+                            assignedRunner.incarnationStartMs(),
+                            runner.incarnationStartMs);
                 }
+                task.phase = TaskState.Phase.ORDERED;
+                task.runner = runner;
+                task.placedIncarnationStartMs = assignedRunner.incarnationStartMs();
+                task.startedAtMs = nowMs;
+                task.progressAtMs = nowMs;
+                task.paceChangedAtMs = nowMs;
+                task.paceUnknown = step.spec.hasTrait(Trait.FILLS);
+                task.starvedSinceMs = nowMs;
+                // A runner that reports to this leader already refuses orders of former leaders.
+                task.confirmedAtRenewal = RunOwnership.ANY_RENEWAL;
+                task.stopping = task.completed;
+                runner.add(task);
             }
         }
     }
--- a/core/src/main/java/org/pollensill/dispatch/ReportHandler.java
+++ b/core/src/main/java/org/pollensill/dispatch/ReportHandler.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import org.pollensill.dispatch.DispatchListener.Cause;
@@ -46,7 +48,7 @@
         runner.unansweredRenewals = 0;
         if (!runner.fenceConfirmed) {
             runner.fenceConfirmed = true;
-            runner.recordLeaseEnd(report.clockMs() + DispatchTiming.LEASE_MS);
+            runner.recordLeaseEnd(report.clockMs() + formerLeaseMs(runner));
         }
         for (RunnerReport.EndedRun end : report.ended()) {
             if (end.sequence() > runner.lastSeenEnd) {
@@ -55,18 +57,23 @@
             }
         }
         if (runner.lastSeenEnd > runner.lastDurableEnd) {
-            pendingChanges.ended(runner, runner.lastSeenEnd);
+            pendingChanges.ended(runner);
         }
         if (sequence < runner.lastReportSequence) {
             return false;
         }
         runner.lastReportSequence = sequence;
+        // The runner lists all ends that are not acknowledged, whatever has become of the acknowledgements sent.
+        runner.lastAcknowledgedEnd = runner.lastSeenEnd;
+        for (RunnerReport.EndedRun end : report.ended()) {
+            runner.lastAcknowledgedEnd = Math.min(runner.lastAcknowledgedEnd, end.sequence() - 1);
+        }
         runner.lastReportClockMs = report.clockMs();
         runner.lastAnswerAtMs = nowMs;
         Map<TaskName, RunnerReport.RunningTask> running = new HashMap<>();
         for (RunnerReport.RunningTask row : report.running()) {
             running.put(row.task(), row);
-            applyRunning(runner, row, nowMs);
+            applyRunning(runner, row, sequence, nowMs);
         }
         // An omitted end may be that of a run that is no longer listed.
         if (!report.mayOmitEnds()) {
@@ -75,6 +82,16 @@
         return true;
     }
 
+    /** Returns the longest lease that former leaders may have granted; see {@link Fleet#extendInheritedLease}. */
+    private static long formerLeaseMs(RunnerState runner) {
+        for (TaskState task : runner.tasks.values()) {
+            if (task.placedIncarnationStartMs != runner.incarnationStartMs) {
+                return DispatchTiming.MAX_LEASE_MS;
+            }
+        }
+        return DispatchTiming.LEASE_MS;
+    }
+
     private void releaseMissing(
             RunnerState runner, long sequence, Map<TaskName, RunnerReport.RunningTask> running, long nowMs) {
         boolean afterLapse = runner.lapsedAtMs != 0 && sequence > runner.renewalBeforeLapse;
@@ -85,7 +102,7 @@
             if (afterLapse) {
                 // Start orders expire with the lease, so the run cannot begin any more either.
                 releaseLapsed(task, nowMs);
-            } else if (task.confirmedAtRenewal < sequence) {
+            } else if (RunOwnership.endsByOmission(task, sequence)) {
                 releaseLost(task, Cause.NOT_LISTED, nowMs, 0);
             }
         }
@@ -99,12 +116,16 @@
         return row != null && row.run() == task.run;
     }
 
-    private void applyRunning(RunnerState runner, RunnerReport.RunningTask row, long nowMs) {
+    private void applyRunning(RunnerState runner, RunnerReport.RunningTask row, long sequence, long nowMs) {
+        resumeIfReleased(runner, row, nowMs);
         TaskState task = runner.tasks.get(row.task());
         if (task == null || task.run != row.run()) {
             runner.address().ifPresent(to -> orders.stop(to, row.task(), row.run()));
             return;
         }
+        if (sequence == runner.renewalSequence) {
+            task.runAddress = runner.renewalAddress;
+        }
         if (!row.checkpoint().isEmpty()) {
             task.checkpoint = row.checkpoint();
             task.checkpointPercent = row.percent();
@@ -122,6 +143,22 @@
         }
     }
 
+    /** Takes back a run that is at work although it was released, so that the task is not started beside it. */
+    private void resumeIfReleased(RunnerState runner, RunnerReport.RunningTask row, long nowMs) {
+        Optional<TaskState> found = jobs.task(row.task());
+        if (found.isEmpty()) {
+            return;
+        }
+        TaskState task = found.get();
+        boolean released = task.phase == TaskState.Phase.WAITING && task.run == row.run();
+        if (!released || task.step.job.status.isFinal() || task.step.spec.hasTrait(Trait.GANG)) {
+            return;
+        }
+        task.resumeOn(runner, runner.renewalAddress, nowMs);
+        pendingChanges.changed(task);
+        confirm(task, runner);
+    }
+
     /** Marks a run as confirmed by its runner; only reports to renewals sent from now on must list it. */
     void confirm(TaskState task, RunnerState runner) {
         task.phase = TaskState.Phase.RUNNING;
@@ -136,6 +173,7 @@
     private void applyEnd(RunnerState runner, RunnerReport.EndedRun end, long nowMs) {
         TaskState task = runner.tasks.get(end.task());
         if (task == null || task.run != end.run()) {
+            applyUnclaimedEnd(runner, end, nowMs);
             return;
         }
         if (!end.checkpoint().isEmpty()) {
@@ -151,6 +189,10 @@
         if (job.status == JobStatus.QUEUED) {
             job.status = JobStatus.RUNNING;
         }
+        if (task.completed) {
+            jobs.markTaskDone(task, nowMs);
+            return;
+        }
         boolean longRunning = task.step.spec.hasTrait(Trait.RESTART_ALWAYS);
         if (end.kind() == EndKind.DONE && !longRunning) {
             health.onSuccess(runner);
@@ -170,6 +212,51 @@
         releaseLost(task, Cause.ENDED_EARLY, nowMs, 0);
     }
 
+    /**
+     * Handles the end of a run that is not expected on its runner. One that has completed its task does so whatever has
+     * become of the task since: the acknowledgement of the end permits no further start.
+     */
+    private void applyUnclaimedEnd(RunnerState runner, RunnerReport.EndedRun end, long nowMs) {
+        Optional<TaskState> found = jobs.task(end.task());
+        if (found.isEmpty()
+                || found.get().phase == TaskState.Phase.DONE
+                || found.get().step.job.status.isFinal()) {
+            return;
+        }
+        TaskState task = found.get();
+        listener.unclaimedEnd(new UnclaimedEnd(
+                task.name,
+                end.run(),
+                runner.id,
+                end.sequence(),
+                end.kind(),
+                task.run,
+                task.runner == null ? "" : task.runner.id));
+        if (end.kind() != EndKind.DONE || task.step.spec.hasTrait(Trait.RESTART_ALWAYS)) {
+            return;
+        }
+        pendingChanges.endedRun(runner, task.step.job);
+        boolean gang = task.step.spec.hasTrait(Trait.GANG);
+        for (TaskState member : gang ? List.copyOf(task.step.tasks) : List.of(task)) {
+            completeByFormerRun(member, nowMs);
+        }
+    }
+
+    /** Completes a task; a later run that may be at work keeps its resources until it has been stopped. */
+    private void completeByFormerRun(TaskState task, long nowMs) {
+        if (task.phase == TaskState.Phase.DONE || task.completed) {
+            return;
+        }
+        boolean mayRun = task.hasRunner() && task.phase != TaskState.Phase.PLACED && !task.startIsUnsent();
+        if (!mayRun) {
+            jobs.markTaskDone(task, nowMs);
+            return;
+        }
+        task.completed = true;
+        pendingChanges.changed(task);
+        stop(task, Cause.COMPLETED, nowMs);
+    }
+
     /** Ends a job as failed, unless it has ended otherwise. */
     void fail(JobState job, long nowMs) {
         if (job.status.isFinal()) {
@@ -194,7 +281,11 @@
     /** Releases a run from its runner because it has certainly ended there or has never begun. */
     void releaseLost(TaskState task, Cause cause, long nowMs, long delayMs) {
         RunnerState runner = task.runner;
-        listener.lost(task.name, task.run, runner == null ? "" : runner.id, cause);
+        listener.lost(RunLoss.of(task, cause, true, nowMs));
+        if (task.completed) {
+            jobs.markTaskDone(task, nowMs);
+            return;
+        }
         if (cause == Cause.FAILED || cause == Cause.STALLED || cause == Cause.LEASE_LAPSED) {
             task.avoidRunner = runner == null ? "" : runner.id;
         }
@@ -219,11 +310,10 @@
     }
 
     /**
-     * Begins the incarnation of a runner that its report shows, and releases the runs of the former one. Runs stay that
-     * the report lists as running or ended, and those whose start orders are unanswered: the orders may have reached
-     * the new incarnation.
+     * Begins the incarnation of a runner that its report shows, and releases the runs that have ended with the former
+     * one.
      */
-    void beginIncarnation(RunnerState runner, RunnerReport report, long nowMs) {
+    void beginIncarnation(RunnerState runner, long sequence, RunnerReport report, long nowMs) {
         Set<TaskName> listed = new HashSet<>();
         for (RunnerReport.RunningTask row : report.running()) {
             addIfAssigned(runner, row.task(), row.run(), listed);
@@ -233,18 +323,23 @@
         }
         boolean tasksStay = false;
         for (TaskState task : new ArrayList<>(runner.tasks.values())) {
-            boolean mayHaveStarted = task.phase == TaskState.Phase.ORDERED && !task.startIsUnsent();
-            if (!mayHaveStarted && !listed.contains(task.name)) {
+            if (!listed.contains(task.name) && RunOwnership.endsByRestart(task, sequence)) {
                 releaseLost(task, Cause.RUNNER_RESTARTED, nowMs, 0);
                 continue;
             }
             tasksStay = true;
             task.progressClockMs = 0;
-            if (task.phase == TaskState.Phase.RUNNING) {
+            if (task.phase == TaskState.Phase.RUNNING && (listed.contains(task.name) || !task.startIsUnanswered())) {
                 task.confirmedAtRenewal = runner.renewalSequence;
+            } else if (task.startAttempts > 0) {
+                // A confirmation or a stop by the former incarnation does not count for this one.
+                task.phase = TaskState.Phase.ORDERED;
+                task.confirmedAtRenewal = RunOwnership.NO_RENEWAL;
+                task.startDueAtMs = nowMs;
             }
             pendingChanges.changed(task);
         }
+        pendingChanges.forgetEnds(runner);
         runner.beginIncarnation(report.incarnationStartMs());
         runner.incarnationKnownAtMs = nowMs;
         if (tasksStay) {
@@ -261,13 +356,15 @@
     }
 
     /**
-     * Handles the answer of another runner at the address of one, which has ended for certain: releases its runs, with
-     * the start orders that it has not accepted. Its list entry may stay for a while, so it takes nothing until it
-     * reports.
+     * Handles the answer of another runner at the address of one. The runs that were confirmed there have ended; others
+     * stay until a report or the end of their lease. The list entry may stay for a while, so the runner takes nothing
+     * until it reports.
      */
-    void onOtherRunner(RunnerState runner, long nowMs) {
+    void onOtherRunner(RunnerState runner, long sequence, long nowMs) {
         for (TaskState task : new ArrayList<>(runner.tasks.values())) {
-            releaseLost(task, Cause.RUNNER_RESTARTED, nowMs, 0);
+            if (RunOwnership.endsByOtherRunner(task, runner.renewalAddress, sequence)) {
+                releaseLost(task, Cause.RUNNER_RESTARTED, nowMs, 0);
+            }
         }
         runner.listed = false;
         runner.unansweredRenewals = Math.max(1, runner.unansweredRenewals);
@@ -288,7 +385,7 @@
 
     void stop(TaskState task, Cause cause, long nowMs) {
         if (!task.stopping) {
-            listener.lost(task.name, task.run, task.runner.id, cause);
+            listener.lost(RunLoss.of(task, cause, false, nowMs));
         }
         task.stopping = true;
         task.stopAttempts++;
--- a/core/src/main/java/org/pollensill/dispatch/RunnerMaintenance.java
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerMaintenance.java
@@ -85,11 +85,16 @@
             }
             long untilMs = runner.clock.get().minReadingMs(nowMs) + DispatchTiming.LEASE_MS;
             runner.recordLeaseEnd(untilMs);
-            runner.renewalSequence++;
+            runner.renewalAddress = to.get().address();
             orders.renewLease(
                     to.get(),
-                    new RenewalOrder(Optional.of(untilMs), fencingToken, acknowledgedEnd(runner, nowMs), 0),
-                    runner.renewalSequence);
+                    new RenewalOrder(
+                            Optional.of(untilMs),
+                            fencingToken,
+                            runner.incarnationStartMs,
+                            acknowledgedEnd(runner, nowMs),
+                            0),
+                    fleet.nextRenewal(runner));
         }
     }
 
@@ -104,7 +109,7 @@
     }
 
     private void checkLease(RunnerState runner, long nowMs) {
-        if (!hasOrderedTasks(runner) || nowMs <= runner.leaseExpiredAtMs()) {
+        if (!hasOrderedTasks(runner) || !RunOwnership.endsByLease(runner, nowMs)) {
             runner.lapsedAtMs = 0;
             return;
         }
@@ -226,14 +231,15 @@
         // While answers are delayed, more reports would delay them further.
         boolean shortWait = (sharedRunner || lossExpected) && !orders.congested();
         long waitMs = shortWait ? DispatchTiming.SHORT_REPORT_WAIT_MS : DispatchTiming.REPORT_WAIT_MS;
-        runner.renewalSequence++;
+        runner.renewalAddress = to.get().address();
         runner.renewalInFlight = true;
         long acknowledgedEnd = acknowledgedEnd(runner, nowMs);
         runner.lastAcknowledgedEnd = Math.max(runner.lastAcknowledgedEnd, acknowledgedEnd);
         orders.renewLease(
                 to.get(),
-                new RenewalOrder(untilMs, fencingToken, acknowledgedEnd, longPoll ? waitMs : 0),
-                runner.renewalSequence);
+                new RenewalOrder(
+                        untilMs, fencingToken, runner.incarnationStartMs, acknowledgedEnd, longPoll ? waitMs : 0),
+                fleet.nextRenewal(runner));
     }
 
     /**
--- a/core/src/main/java/org/pollensill/dispatch/RunnerState.java
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerState.java
@@ -30,6 +30,9 @@
     Optional<RunnerEntry> entry = Optional.empty();
 
     boolean listed;
+    /** Number of reads of the list in a row that showed an earlier incarnation than the runner has reported. */
+    int olderEntryReads;
+
     final Map<TaskName, TaskState> tasks = new LinkedHashMap<>();
     Resources reservedResources = Resources.NONE;
     /** The part of the reserved resources that belongs to long-running tasks. */
@@ -65,6 +68,9 @@
     /** Latest end of any lease that the runner may have been granted, on its own clock. */
     long leaseEndMs;
 
+    /** Local time at which the last start order was sent. */
+    long lastStartSentAtMs;
+
     /** Time at which the lease was found expired while tasks were on the runner, 0 where it is not. */
     long lapsedAtMs;
 
@@ -75,7 +81,12 @@
     long inheritedLeaseExpiryAtMs;
 
     boolean renewalInFlight;
+    /** Number of the latest renewal; the numbers rise over all runners of the leader. */
     long renewalSequence;
+
+    /** The address to which it was sent. */
+    String renewalAddress = "";
+
     /** Sequence number of the latest renewal whose report was applied; of an older one only the ended runs count. */
     long lastReportSequence;
 
@@ -249,7 +260,23 @@
         if (!fenceConfirmed || clock.isEmpty()) {
             return inheritedLeaseExpiryAtMs;
         }
-        return clock.get().latestPassingMs(leaseEndMs) + DispatchTiming.LEASE_EXPIRY_MARGIN_MS;
+        long expiredAtMs = clock.get().latestPassingMs(leaseEndMs) + DispatchTiming.LEASE_EXPIRY_MARGIN_MS;
+        return entryIsOther() ? Math.max(expiredAtMs, otherIncarnationLeaseExpiryAtMs()) : expiredAtMs;
+    }
+
+    /** Returns whether the list shows another incarnation than the runner has reported. */
+    private boolean entryIsOther() {
+        return entry.isPresent() && !entryIsCurrent();
+    }
+
+    /**
+     * Returns the local time from which a run has ended that the start order sent last has begun in an incarnation that
+     * has not reported. The order named a lease on the clock of the former one, so it may be the longest possible.
+     */
+    private long otherIncarnationLeaseExpiryAtMs() {
+        return lastStartSentAtMs
+                + RunnerClock.maxLocalDurationMs(DispatchTiming.MAX_LEASE_MS)
+                + DispatchTiming.LEASE_EXPIRY_MARGIN_MS;
     }
 
     /** Records that a lease may be granted; it holds for all runs of the runner. */
@@ -270,8 +297,6 @@
         fenceConfirmed = false;
         clock = Optional.empty();
         leaseEndMs = 0;
-        inheritedLeaseExpiryAtMs = 0;
-        lastReportSequence = 0;
         lapsedAtMs = 0;
         lastSeenEnd = 0;
         lastDurableEnd = 0;
--- a/core/src/main/java/org/pollensill/dispatch/TaskState.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskState.java
@@ -7,6 +7,7 @@
 import org.pollensill.job.ProgressLayout;
 import org.pollensill.job.TaskName;
 import org.pollensill.job.TaskRecord;
+import org.pollensill.job.Trait;
 
 /** In-memory state of a task. */
 final class TaskState {
@@ -51,10 +52,19 @@
     /** Number of stop orders sent for the run. */
     int stopAttempts;
 
-    /** Sequence number of the last renewal sent before the run was confirmed; later reports must list the run. */
+    /** Number of the last renewal sent before the run was confirmed; reports to later ones must list the run. */
     long confirmedAtRenewal;
 
+    /** The address at which the run was ordered or reported, empty where it may be at work at more than one. */
+    String runAddress = "";
+
+    /** Whether a former run has completed the task while a later one was ordered, which is being stopped. */
+    boolean completed;
+
     int startAttempts;
+    /** Number of start orders of the run that the runner has answered. */
+    int startAnswers;
+
     /** Time at which a start order is to be sent that could not be sent or repeated at once, 0 where none is. */
     long startDueAtMs;
 
@@ -149,6 +159,11 @@
         return startAttempts == 0 && startDueAtMs != 0;
     }
 
+    /** Returns whether a start order of the run may still be carried out. */
+    boolean startIsUnanswered() {
+        return startAttempts > startAnswers;
+    }
+
     boolean hasRunner() {
         return runner != null;
     }
@@ -161,7 +176,9 @@
         preempted = false;
         reservedRunners.clear();
         startAttempts = 0;
+        startAnswers = 0;
         startDueAtMs = 0;
+        runAddress = "";
         stopAttempts = 0;
         percent = 0;
         pace = FULL_PACE;
@@ -182,6 +199,19 @@
         }
     }
 
+    /** Takes back a run that its runner reports to be at work although it was released. */
+    void resumeOn(RunnerState found, String address, long nowMs) {
+        phase = Phase.ORDERED;
+        runner = found;
+        placedIncarnationStartMs = found.incarnationStartMs;
+        runAddress = address;
+        paceUnknown = step.spec.hasTrait(Trait.FILLS);
+        startedAtMs = nowMs;
+        progressAtMs = nowMs;
+        progressClockMs = 0;
+        found.add(this);
+    }
+
     /** Releases the task from its runner; it is waiting again unless it is done. */
     void release() {
         if (runner != null) {
@@ -202,15 +232,17 @@
     TaskRecord record() {
         Optional<TaskRecord.RunnerIncarnation> assignedRunner = runner == null
                 ? Optional.empty()
-                : Optional.of(new TaskRecord.RunnerIncarnation(runner.id, runner.incarnationStartMs));
+                : Optional.of(new TaskRecord.RunnerIncarnation(
+                        runner.id, phase == Phase.RUNNING ? runner.incarnationStartMs : placedIncarnationStartMs));
+        boolean done = phase == Phase.DONE || completed;
         return new TaskRecord(
                 step.occurrence,
                 step.number,
                 name.index(),
-                phase == Phase.DONE,
+                done,
                 run,
                 failures,
-                phase == Phase.DONE ? "" : checkpoint,
+                done ? "" : checkpoint,
                 assignedRunner);
     }
 }
