--- a/soak/src/main/java/org/pollensill/soak/Play.java
+++ b/soak/src/main/java/org/pollensill/soak/Play.java
@@ -40,10 +40,10 @@
 final class Play {
 
     /** Maximum time that jobs have after the last fault, however busy the machine is. */
-    private static final long LOST_BOUND_MS = 300_000;
+    private static final long LOST_BOUND_MS = 60_000;
 
     /** Time in which the coordinators have to elect a first leader, however busy the machine is. */
-    private static final long FIRST_LEADER_BOUND_MS = 300_000;
+    private static final long FIRST_LEADER_BOUND_MS = 60_000;
 
     private static final long CALM_MS = 1_500;
     private static final long CHECK_MS = 200;
