--- a/soak/src/main/java/org/pollensill/soak/Play.java
+++ b/soak/src/main/java/org/pollensill/soak/Play.java
@@ -26,6 +26,7 @@
 import org.pollensill.runtime.net.EventLoops;
 import org.pollensill.soak.check.RuleChecker;
 import org.pollensill.soak.client.ClientPool;
+import org.pollensill.soak.client.JobLoad;
 import org.pollensill.soak.fault.FaultInjector;
 import org.pollensill.soak.fault.FaultPlan;
 import org.pollensill.soak.process.Coordinator;
@@ -50,9 +51,6 @@
     /** Time without faults in which rules are checked, at least. */
     private static final long CALM_END_MS = 4_000;
 
-    /** Loads of a play, as jobs per runner and second. With the lowest, runners have no work now and then. */
-    private static final double[] JOBS_PER_RUNNER_S = {0.1, 0.3, 0.8};
-
     private static final int STORE_PORT = 8169;
     private static final int OWN_NETWORKS = 200;
 
@@ -234,11 +232,12 @@
                 loop,
                 checker,
                 coordinators.coordinators(),
-                JOBS_PER_RUNNER_S[random.nextInt(JOBS_PER_RUNNER_S.length)] * options.runners(),
+                JobLoad.ALL.get(random.nextInt(JobLoad.ALL.size())),
+                options.runners(),
                 new Random(random.nextLong()));
         injector = new FaultInjector(loop, coordinators, runners, storeCalls, this::configure, this::log);
         long faultsMs = options.seconds() * 1_000L;
-        injector.play(FaultPlan.draw(seed, faultsMs));
+        injector.play(FaultPlan.draw(seed, faultsMs, options.kinds()));
         loop.later(faultsMs, () -> {
             log("faults end");
             clients.stopSubmitting();
--- a/soak/src/main/java/org/pollensill/soak/SoakMain.java
+++ b/soak/src/main/java/org/pollensill/soak/SoakMain.java
@@ -2,6 +2,9 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
@@ -10,10 +13,14 @@
 import org.pollensill.runtime.boot.Launcher;
 import org.pollensill.runtime.event.LogSetup;
 import org.pollensill.soak.check.Violation;
+import org.pollensill.soak.fault.Fault;
 
 /** Command line of the fault soak. */
 public final class SoakMain {
 
+    /** Folder of the logs, beside the repository, so that a clean build keeps them. */
+    private static final String LOGS = "logs/soak";
+
     private static final String USAGE = """
             usage: soak [--seed N] [--seeds K] [--seconds S] [--coordinators C] [--runners R] [--logs FOLDER]
               --seed N          first seed (default 1)
@@ -21,7 +28,8 @@
               --seconds S       duration of the faults of a play (default 20)
               --coordinators C  number of coordinators (default 3)
               --runners R       number of runners (default 8)
-              --logs FOLDER     keeps the logs of plays that fail in FOLDER/SEED (default /work/logs/soak)
+              --kinds A,B       kinds of faults (default: some, drawn by the seed)
+              --logs FOLDER     keeps the logs of plays that fail in FOLDER/SEED (default: logs/soak beside the repository)
               --home FOLDER     root of the repository (default: the current folder)
               --help            prints this text
             """;
@@ -51,12 +59,16 @@
             }
             firstSeed = Long.parseLong(line.getOptionValue("seed", "1"));
             seeds = Integer.parseInt(line.getOptionValue("seeds", "1"));
+            Path home =
+                    Path.of(line.getOptionValue("home", "")).toAbsolutePath().normalize();
+            String logs = line.getOptionValue("logs", home.resolveSibling(LOGS).toString());
             options = new SoakOptions(
-                    Path.of(line.getOptionValue("home", "")).toAbsolutePath(),
-                    Path.of(line.getOptionValue("logs", "/work/logs/soak")).toAbsolutePath(),
+                    home,
+                    Path.of(logs).toAbsolutePath(),
                     Integer.parseInt(line.getOptionValue("seconds", "20")),
                     Integer.parseInt(line.getOptionValue("coordinators", "3")),
-                    Integer.parseInt(line.getOptionValue("runners", "8")));
+                    Integer.parseInt(line.getOptionValue("runners", "8")),
+                    kinds(line.getOptionValue("kinds", "")));
         } catch (ParseException | IllegalArgumentException e) {
             System.err.println("soak: " + e.getMessage() + " (see --help)");
             return Launcher.EXIT_USAGE;
@@ -87,6 +99,12 @@
         return broken == 0 ? 0 : 1;
     }
 
+    private static Set<Fault.Kind> kinds(String names) {
+        return names.isEmpty()
+                ? Set.of()
+                : Stream.of(names.split(",")).map(Fault.Kind::valueOf).collect(Collectors.toSet());
+    }
+
     private static Options options() {
         return new Options()
                 .addOption(null, "seed", true, "first seed")
@@ -94,6 +112,7 @@
                 .addOption(null, "seconds", true, "duration of the faults")
                 .addOption(null, "coordinators", true, "number of coordinators")
                 .addOption(null, "runners", true, "number of runners")
+                .addOption(null, "kinds", true, "kinds of faults")
                 .addOption(null, "logs", true, "folder of the logs")
                 .addOption(null, "home", true, "root of the repository")
                 .addOption(null, "help", false, "print the usage");
--- a/soak/src/main/java/org/pollensill/soak/SoakOptions.java
+++ b/soak/src/main/java/org/pollensill/soak/SoakOptions.java
@@ -2,6 +2,9 @@
 
 import java.nio.file.Path;
 import java.util.Objects;
+import java.util.Set;
+
+import org.pollensill.soak.fault.Fault;
 
 /**
  * Options of a play.
@@ -11,8 +14,9 @@
  * @param seconds duration of the faults in seconds
  * @param coordinators number of coordinators
  * @param runners number of runners
+ * @param kinds kinds of faults, empty to draw them by the seed
  */
-public record SoakOptions(Path home, Path logs, int seconds, int coordinators, int runners) {
+public record SoakOptions(Path home, Path logs, int seconds, int coordinators, int runners, Set<Fault.Kind> kinds) {
 
     private static final int MAX_COORDINATORS = 16;
     private static final int MAX_RUNNERS = 200;
@@ -25,6 +29,7 @@
     public SoakOptions {
         Objects.requireNonNull(home, "home is null");
         Objects.requireNonNull(logs, "logs is null");
+        kinds = Set.copyOf(kinds);
         if (seconds < 1) {
             throw new IllegalArgumentException("a play lasts 1 s at least");
         }
--- a/soak/src/main/java/org/pollensill/soak/client/ClientPool.java
+++ b/soak/src/main/java/org/pollensill/soak/client/ClientPool.java
@@ -52,12 +52,11 @@
     private static final int MAX_TASKS = 5;
     private static final int MIN_MILLICORES = 500;
     private static final int MORE_MILLICORES = 2_500;
-    private static final int MIN_DURATION_MS = 150;
-    private static final int MORE_DURATION_MS = 2_500;
 
     private final PlayLoop loop;
     private final RuleChecker checker;
     private final List<Coordinator> coordinators;
+    private final JobLoad load;
     private final Random random;
     private final HttpClient http;
     private final Set<String> unready = new HashSet<>();
@@ -65,7 +64,9 @@
     private int lastingJobs;
     private int submitted;
 
-    private ClientPool(PlayLoop loop, RuleChecker checker, List<Coordinator> coordinators, Random random) {
+    private ClientPool(
+            PlayLoop loop, RuleChecker checker, List<Coordinator> coordinators, JobLoad load, Random random) {
+        this.load = load;
         this.loop = loop;
         this.checker = checker;
         this.coordinators = List.copyOf(coordinators);
@@ -83,15 +84,21 @@
      * @param loop the loop
      * @param checker sees what the clients see
      * @param coordinators the coordinators
-     * @param jobsPerS mean number of jobs per second
+     * @param load the jobs
+     * @param runners number of runners
      * @param random draws the jobs
      * @return the clients
      */
     public static ClientPool start(
-            PlayLoop loop, RuleChecker checker, List<Coordinator> coordinators, double jobsPerS, Random random) {
-        ClientPool pool = new ClientPool(loop, checker, coordinators, random);
+            PlayLoop loop,
+            RuleChecker checker,
+            List<Coordinator> coordinators,
+            JobLoad load,
+            int runners,
+            Random random) {
+        ClientPool pool = new ClientPool(loop, checker, coordinators, load, random);
         pool.probe();
-        pool.submitNext(jobsPerS);
+        pool.submitNext(load.jobsPerRunnerS() * runners);
         return pool;
     }
 
@@ -170,7 +177,7 @@
         return new StepShape(
                 gang ? 2 + random.nextInt(2) : 1 + random.nextInt(MAX_TASKS),
                 MIN_MILLICORES + random.nextInt(MORE_MILLICORES),
-                MIN_DURATION_MS + random.nextInt(MORE_DURATION_MS),
+                load.minDurationMs() + random.nextInt(load.maxDurationMs() - load.minDurationMs()),
                 predecessors,
                 gang,
                 false,
--- a/soak/src/main/java/org/pollensill/soak/fault/FaultInjector.java
+++ b/soak/src/main/java/org/pollensill/soak/fault/FaultInjector.java
@@ -25,6 +25,7 @@
     private static final int ENTRY_BACK_MS = 2_000;
 
     private static final int MORE_HIDDEN_MS = 2_700;
+    private static final int MAX_HELD_MS = 1_200;
     private static final int MIN_PAUSE_MS = 200;
     private static final int MORE_PAUSE_MS = 5_800;
     private static final int RESTARTED_WITHIN_MS = 3_000;
@@ -194,8 +195,7 @@
                 chosen.forEach(runner -> hide(runner, hiddenMs(random)));
                 return;
             case ENTRIES_VANISH_ANSWERS_LATE:
-                disturbRunners(late, fault, chosen);
-                chosen.forEach(runner -> loop.later(random.nextInt(MAX_DOWN_MS), () -> hide(runner, hiddenMs(random))));
+                holdBackAndHide(chosen, random);
                 return;
             case RUNNERS_RESTARTED_ANSWERS_LATE:
                 disturbRunners(late, fault, chosen);
@@ -288,6 +288,17 @@
         runner.hideEntry(durationMs);
     }
 
+    /** Holds back answers for a moment in which entries vanish; the answers arrive when the entries are back. */
+    private void holdBackAndHide(List<StandinRunner> chosen, Random random) {
+        for (StandinRunner runner : chosen) {
+            long heldMs = MIN_HIDDEN_MS + random.nextInt(MAX_HELD_MS);
+            Trouble held = new Trouble(Trouble.Kind.ANSWER_LATE, 1, heldMs, heldMs + MAX_HELD_MS);
+            log.accept(runner.id() + ": " + held + " for " + heldMs + " ms");
+            runner.calls().disturb(held, heldMs);
+            loop.later(random.nextInt((int) heldMs), () -> hide(runner, MIN_HIDDEN_MS + random.nextInt(MAX_HELD_MS)));
+        }
+    }
+
     private void disturbRunners(Trouble trouble, Fault fault, List<StandinRunner> chosen) {
         log.accept(chosen.stream().map(StandinRunner::id).toList() + ": " + trouble + " for " + fault.durationMs()
                 + " ms");
--- a/soak/src/main/java/org/pollensill/soak/fault/FaultPlan.java
+++ b/soak/src/main/java/org/pollensill/soak/fault/FaultPlan.java
@@ -4,6 +4,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 
 /**
  * The faults of a play in order of time.
@@ -33,13 +34,17 @@
      *
      * @param seed the seed
      * @param durationMs time during which faults begin, in milliseconds
+     * @param only the kinds of faults, empty to draw them
      * @return the plan
      */
-    public static FaultPlan draw(long seed, long durationMs) {
+    public static FaultPlan draw(long seed, long durationMs, Set<Fault.Kind> only) {
         Random random = new Random(seed);
         List<Fault.Kind> kinds = new ArrayList<>(List.of(Fault.Kind.values()));
         Collections.shuffle(kinds, random);
         kinds = kinds.subList(0, MIN_KINDS + random.nextInt(MORE_KINDS));
+        if (!only.isEmpty()) {
+            kinds = only.stream().sorted().toList();
+        }
         int meanGapMs = MEAN_GAPS_MS[random.nextInt(MEAN_GAPS_MS.length)];
         List<Fault> faults = new ArrayList<>();
         long atMs = 0;
