--- a/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorEvent.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorEvent.java
@@ -74,6 +74,10 @@
     END_UNCLAIMED(7049, Level.WARN, "unclaimed end"),
     /** A stored placement names another incarnation of its runner than the list of runners. */
     INCARNATION_MISMATCH(7051, Level.INFO, "incarnation mismatch"),
+    /** Placements of former leaders stay on a runner that has not reported to this leader, until their leases expire. */
+    PLACEMENTS_INHERITED(7052, Level.INFO, "placements inherited"),
+    /** A long-running task has been without a run for 6 s or more; the line has the cause. */
+    TASK_WITHOUT_RUN(7053, Level.WARN, "task without run"),
     /** The advice service has answered for a step: how many runners are allowed, or why there is no answer. */
     ADVICE_RECEIVED(7035, Level.INFO, "advice received"),
     /** A runner is quarantined after consecutive failures and gets no tasks for the logged time. */
--- a/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorMetrics.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorMetrics.java
@@ -1,6 +1,7 @@
 package org.pollensill.coordinator;
 
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 
 import io.prometheus.metrics.core.metrics.Counter;
@@ -12,6 +13,7 @@
 import org.pollensill.dispatch.JobOutcome;
 import org.pollensill.dispatch.PlacementObstacle;
 import org.pollensill.dispatch.WaitReport;
+import org.pollensill.dispatch.WithoutRunCause;
 
 /** Prometheus metrics of a coordinator. */
 final class CoordinatorMetrics {
@@ -44,6 +46,7 @@
     private final Counter lateAnswers;
     private final Counter capacityReservations;
     private final Gauge waitingTasks;
+    private final Gauge withoutRun;
     private final Counter waitExplanations;
     private final Counter jobOutcomes;
     private final Gauge capacityBlocks;
@@ -114,6 +117,11 @@
                 .help("Tasks that have waited for 2 s or more, by kind; 0 where this process does not lead")
                 .labelNames("kind")
                 .register(registry);
+        withoutRun = Gauge.builder()
+                .name("pollensill_long_running_without_run")
+                .help("Long-running tasks without a run for 6 s or more, by cause; 0 where this process does not lead")
+                .labelNames("cause")
+                .register(registry);
         waitExplanations = Counter.builder()
                 .name("pollensill_wait_explanations_total")
                 .help("Explanations why a task waits, by the most frequent reason")
@@ -210,6 +218,12 @@
         waitingTasks.labelValues("other").set(other);
     }
 
+    void withoutRun(Map<WithoutRunCause, Integer> tasksByCause) {
+        for (WithoutRunCause cause : WithoutRunCause.values()) {
+            withoutRun.labelValues(cause.name()).set(tasksByCause.getOrDefault(cause, 0));
+        }
+    }
+
     void waitExplained(WaitReport report) {
         waitExplanations.labelValues(reason(report)).inc();
     }
@@ -258,6 +272,7 @@
         leading.set(isLeader ? 1 : 0);
         if (!isLeader) {
             waitingTasks(0, 0);
+            withoutRun(Map.of());
             capacityBlocks(new CapacityBlocks(0, 0, 0, 0, 0));
             commitOverdue(0);
             jobsSetAside.set(0);
--- a/coordinator/src/main/java/org/pollensill/coordinator/DecisionLog.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/DecisionLog.java
@@ -6,11 +6,14 @@
 
 import org.pollensill.dispatch.CapacityBlocks;
 import org.pollensill.dispatch.DispatchListener;
+import org.pollensill.dispatch.InheritedPlacements;
 import org.pollensill.dispatch.JobOutcome;
 import org.pollensill.dispatch.PlacementObstacle;
 import org.pollensill.dispatch.RunLoss;
 import org.pollensill.dispatch.UnclaimedEnd;
 import org.pollensill.dispatch.WaitReport;
+import org.pollensill.dispatch.WithoutRun;
+import org.pollensill.dispatch.WithoutRunCause;
 import org.pollensill.job.JobStatus;
 import org.pollensill.job.TaskName;
 import org.pollensill.runtime.event.EventLog;
@@ -236,6 +239,47 @@
         return fields;
     }
 
+    @Override
+    public void inherited(InheritedPlacements placements) {
+        LOG.log(
+                CoordinatorEvent.PLACEMENTS_INHERITED,
+                "runner",
+                placements.runner(),
+                "listed",
+                placements.listed(),
+                "tasks",
+                placements.tasks(),
+                "firstTask",
+                placements.firstTask(),
+                "leaseRemainingMs",
+                placements.leaseRemainingMs());
+    }
+
+    @Override
+    public void withoutRun(Map<WithoutRunCause, Integer> tasksByCause) {
+        metrics.withoutRun(tasksByCause);
+    }
+
+    @Override
+    public void withoutRun(WithoutRun description) {
+        LOG.log(
+                CoordinatorEvent.TASK_WITHOUT_RUN,
+                "task",
+                description.task(),
+                "run",
+                description.run(),
+                "cause",
+                description.cause(),
+                "withoutRunMs",
+                description.withoutRunMs(),
+                "runner",
+                description.runner(),
+                "listed",
+                description.runnerListed(),
+                "leaseRemainingMs",
+                description.leaseRemainingMs());
+    }
+
     @Override
     public void capacityReserved(TaskName task, String runner, long withoutRunMs) {
         metrics.capacityReserved();
--- a/core/src/main/java/org/pollensill/dispatch/DispatchListener.java
+++ b/core/src/main/java/org/pollensill/dispatch/DispatchListener.java
@@ -1,5 +1,7 @@
 package org.pollensill.dispatch;
 
+import java.util.Map;
+
 import org.pollensill.job.JobStatus;
 import org.pollensill.job.TaskName;
 
@@ -160,6 +162,28 @@
      */
     void waiting(WaitReport report);
 
+    /**
+     * Called once in a term for each of up to 20 runners that hold placements of former leaders and have not reported
+     * within 0.5 s.
+     *
+     * @param placements the placements, and how long they are kept on the runner
+     */
+    void inherited(InheritedPlacements placements);
+
+    /**
+     * Called about once a second, before the descriptions of that second.
+     *
+     * @param tasksByCause number of long-running tasks that have been without a run for 6 s or more, by cause
+     */
+    void withoutRun(Map<WithoutRunCause, Integer> tasksByCause);
+
+    /**
+     * Called about once a second for each of up to 5 of these tasks, those that have been without a run for longest.
+     *
+     * @param description the task and why it has no run
+     */
+    void withoutRun(WithoutRun description);
+
     /**
      * Called when the free capacity of a runner is reserved for an overdue long-running task.
      *
--- a/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
@@ -34,6 +34,7 @@
     private final AnswerHandler answers;
     private final AdvicePoller advicePoller;
     private final WaitExplainer waitExplainer;
+    private final WithoutRunMonitor withoutRunMonitor;
     private final EarlyCancellations earlyCancellations = new EarlyCancellations();
     private final JobRetention retention;
     private boolean active;
@@ -62,6 +63,7 @@
                 new CapacityReservations(fleet, runnerSelector, listener),
                 listener);
         this.waitExplainer = new WaitExplainer(jobs, fleet, runnerSelector, taskScheduler, listener);
+        this.withoutRunMonitor = new WithoutRunMonitor(jobs, fleet, runnerSelector, listener);
         this.advicePoller = new AdvicePoller(jobs, fleet);
         this.maintenance = new RunnerMaintenance(jobs, fleet, reportHandler, starts, health, orders, fencingToken);
         InterferenceController interferenceController =
@@ -352,6 +354,7 @@
         jobs.reportOutcomes(nowMs);
         maintenance.tick(nowMs, mayRenew);
         waitExplainer.tick(nowMs);
+        withoutRunMonitor.tick(nowMs);
     }
 
     /**
--- a/core/src/main/java/org/pollensill/dispatch/RunnerSelector.java
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerSelector.java
@@ -102,6 +102,17 @@
         return idle && !exceedsHeadroom(task, runner, nowMs) ? Optional.empty() : PlacementObstacle.HEADROOM.found();
     }
 
+    /**
+     * Returns the same for an explanation. The cached headroom depends on when it is computed, so one that is computed
+     * here must not reach placement.
+     */
+    Optional<PlacementObstacle> obstacleUncached(TaskState task, RunnerState runner, long nowMs) {
+        Map<String, Double> cachedHeadroom = runner.headroom;
+        Optional<PlacementObstacle> obstacle = obstacle(task, runner, nowMs);
+        runner.headroom = cachedHeadroom;
+        return obstacle;
+    }
+
     /** Returns whether a task would use capacity that is reserved or claimed for another one. */
     private static boolean usesWithheldCapacity(TaskState task, RunnerState runner, Resources countedAfter) {
         Resources withheld = withheldFrom(task, runner);
--- a/core/src/main/java/org/pollensill/dispatch/WaitExplainer.java
+++ b/core/src/main/java/org/pollensill/dispatch/WaitExplainer.java
@@ -133,10 +133,6 @@
         if (!RunnerSelector.matches(task.step, runner)) {
             return PlacementObstacle.NO_MATCH.found();
         }
-        // The cached headroom depends on when it is computed, so one computed here must not reach placement.
-        Map<String, Double> cachedHeadroom = runner.headroom;
-        Optional<PlacementObstacle> obstacle = runnerSelector.obstacle(task, runner, nowMs);
-        runner.headroom = cachedHeadroom;
-        return obstacle;
+        return runnerSelector.obstacleUncached(task, runner, nowMs);
     }
 }
--- a/core/src/test/java/org/pollensill/dispatch/CountingListener.java
+++ b/core/src/test/java/org/pollensill/dispatch/CountingListener.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.pollensill.job.JobStatus;
@@ -20,6 +21,9 @@
     Optional<CapacityBlocks> lastBlocks = Optional.empty();
     final List<WaitReport> waiting = new ArrayList<>();
     final List<TaskName> reserved = new ArrayList<>();
+    final List<InheritedPlacements> inherited = new ArrayList<>();
+    final List<WithoutRun> withoutRun = new ArrayList<>();
+    Map<WithoutRunCause, Integer> withoutRunByCause = Map.of();
     final List<String> setAside = new ArrayList<>();
 
     @Override
@@ -53,6 +57,21 @@
         outcomes.add(outcome);
     }
 
+    @Override
+    public void inherited(InheritedPlacements placements) {
+        inherited.add(placements);
+    }
+
+    @Override
+    public void withoutRun(Map<WithoutRunCause, Integer> tasksByCause) {
+        withoutRunByCause = Map.copyOf(tasksByCause);
+    }
+
+    @Override
+    public void withoutRun(WithoutRun description) {
+        withoutRun.add(description);
+    }
+
     @Override
     public void preempted(TaskName task, String runner, long ranMs, TaskName beneficiary) {}
 
