--- a/core/src/test/java/org/pollensill/dispatch/SimulatedCluster.java
+++ b/core/src/test/java/org/pollensill/dispatch/SimulatedCluster.java
@@ -35,6 +35,7 @@
     static final int TIMEOUT_MS = 700;
     private static final long FIRST_START_MS = 1_000;
     private static final long DRAIN_REMAINING_MS = 3_000;
+    private static final long NEVER_MS = Long.MAX_VALUE / 4;
     private static final int MIN_DOWN_MS = 20;
     private static final int MAX_DOWN_MS = 600;
     private static final int MAX_LIST_LAG_MS = 1_500;
@@ -231,6 +232,19 @@
         hiddenUntilMs.put(runner, nowMs + durationMs);
     }
 
+    /** Ends a runner that never comes back; its entry stays in the list for a time. */
+    void loseForGood(String id, long listedMs) {
+        SimulatedRunner runner = runners.get(id);
+        trace("lost " + id + " for good, listed for " + listedMs);
+        runner.restart(NEVER_MS, runner.incarnationStartMs, true);
+        after(listedMs, () -> hide(id, NEVER_MS - nowMs));
+    }
+
+    /** Returns the runner on which a task is at work. */
+    Optional<String> runnerOf(TaskName task) {
+        return Optional.ofNullable(runningOn.get(task));
+    }
+
     /** Restarts a runner, which may move to another address. */
     void restart(String id) {
         SimulatedRunner runner = runners.get(id);
