Reserve the runner on which an overdue task fits soonest, and place it beside claims

A reservation held the runner that lacked least for 2 s, whatever ran there; it now takes the runner whose short tasks are expected to make room first, by progress or estimate, and holds it for 1.5 times that time, from 2 to 4 s. And for 1 s after each preemption nothing overdue was placed on a runner, which dates from before claims: the best runner was dropped and no second one tried. Claims withhold what is freed for others, so that hold is gone.

The new tests fail on the code before (3 of 3).

--- a/core/src/main/java/org/pollensill/dispatch/CapacityReservations.java
+++ b/core/src/main/java/org/pollensill/dispatch/CapacityReservations.java
@@ -21,8 +21,14 @@
     /** A second less than the 6 s without a run after which the users count a long-running task as missing. */
     static final long MAX_OVERTAKEN_MS = 5_000;
 
-    /** Maximum duration of a reservation; most short tasks end within it. */
-    static final long MAX_RESERVATION_MS = 2_000;
+    /** Maximum duration of a reservation. */
+    static final long MAX_RESERVATION_MS = 4_000;
+
+    /** Minimum duration of a reservation; most short tasks end within it. */
+    static final long MIN_RESERVATION_MS = 2_000;
+
+    /** A reservation lasts for this many times the time in which the capacity is expected to become free. */
+    private static final double EXPECTATION_FACTOR = 1.5;
 
     /** Maximum number of reservations of a task, of a runner each, that expire without a pause after them. */
     private static final int MAX_RESERVATIONS_IN_A_ROW = 2;
@@ -31,22 +37,22 @@
      * Time without a reservation after those of a task have expired. It keeps capacity on which the task cannot start
      * usable for others, and gives other overdue tasks their turn.
      */
-    static final long RESERVATION_PAUSE_MS = MAX_RESERVATIONS_IN_A_ROW * MAX_RESERVATION_MS;
+    static final long RESERVATION_PAUSE_MS = MAX_RESERVATIONS_IN_A_ROW * MIN_RESERVATION_MS;
 
     /** Delay before another search, over all runners, for a step whose tasks fit nowhere. */
     private static final long RETRY_DELAY_MS = 250;
 
-    /** Time for which capacity that was freed by preemption is left to the tasks that caused it. */
-    private static final long PREEMPTED_CAPACITY_HOLD_MS = 1_000;
-
     /** Maximum fraction of the listed runners that are reserved; reserved capacity is idle until the task starts. */
     private static final double MAX_RESERVED_FRACTION = 0.1;
 
     private static final Comparator<TaskState> LONGEST_WITHOUT_RUN_FIRST =
             Comparator.comparingLong(task -> task.withoutRunSinceMs);
 
-    /** A runner whose free capacity is reserved, and since when. */
-    private record Reservation(RunnerState runner, long sinceMs) {}
+    /** A runner whose free capacity is reserved, and until when. */
+    private record Reservation(RunnerState runner, long endMs) {}
+
+    /** A runner on which a task is expected to fit after a time. */
+    private record ExpectedFit(RunnerState runner, long inMs) {}
 
     /** Chooses runners and places tasks by the rules of their steps. */
     interface Placement {
@@ -152,17 +158,17 @@
                     runnerSelector.obstacle(task, reservation.runner(), nowMs).isEmpty();
             return fits ? Optional.of(reservation.runner()) : Optional.empty();
         }
-        Optional<RunnerState> fitting =
-                placement.choose(task).filter(runner -> !isHeldForPreemptingTasks(runner, nowMs));
+        Optional<RunnerState> fitting = placement.choose(task);
         if (fitting.isPresent()) {
             return fitting;
         }
-        Optional<RunnerState> nearest = nearestFit(task, nowMs);
-        if (nearest.isPresent()) {
-            nearest.get().reservedFor = task;
-            task.reservedRunners.add(nearest.get().id);
-            reservations.put(task, new Reservation(nearest.get(), nowMs));
-            listener.capacityReserved(task.name, nearest.get().id, nowMs - task.withoutRunSinceMs);
+        Optional<ExpectedFit> soonest = soonestFit(task, nowMs);
+        if (soonest.isPresent()) {
+            RunnerState runner = soonest.get().runner();
+            runner.reservedFor = task;
+            task.reservedRunners.add(runner.id);
+            reservations.put(task, new Reservation(runner, nowMs + durationMs(soonest.get())));
+            listener.capacityReserved(task.name, runner.id, nowMs - task.withoutRunSinceMs);
         } else if (!task.reservedRunners.isEmpty()) {
             // Each candidate has been reserved in vain.
             task.reservedRunners.clear();
@@ -174,9 +180,9 @@
         return Optional.empty();
     }
 
-    /** Returns whether capacity of a runner may have been freed for other tasks that have not taken it yet. */
-    private static boolean isHeldForPreemptingTasks(RunnerState runner, long nowMs) {
-        return nowMs - runner.preemptedAtMs < PREEMPTED_CAPACITY_HOLD_MS;
+    private static long durationMs(ExpectedFit fit) {
+        long expectedMs = (long) (EXPECTATION_FACTOR * fit.inMs());
+        return Math.max(MIN_RESERVATION_MS, Math.min(MAX_RESERVATION_MS, expectedMs));
     }
 
     private int maxReservations() {
@@ -190,31 +196,49 @@
     }
 
     /**
-     * Returns the runner that lacks least for a task, among those on which it fits beside the long-running tasks and
-     * that have not been reserved for it in vain.
+     * Returns the runner on which a task is expected to fit soonest, among those on which it fits beside the long-running
+     * tasks and that have not been reserved for it in vain. Capacity that is being freed for others is left to them.
      */
-    private Optional<RunnerState> nearestFit(TaskState task, long nowMs) {
+    private Optional<ExpectedFit> soonestFit(TaskState task, long nowMs) {
         Resources need = task.step.spec.reservedResources();
-        RunnerState nearest = null;
-        double leastExcess = 0;
+        ExpectedFit soonest = null;
         for (RunnerState runner : fleet.all()) {
-            if (runner.reservedFor != null || isHeldForPreemptingTasks(runner, nowMs)) {
+            if (runner.reservedFor != null || !runner.claimedResources.equals(Resources.NONE)) {
                 continue;
             }
             if (task.reservedRunners.contains(runner.id) || !runnerSelector.isEligible(task, runner, nowMs)) {
                 continue;
             }
-            Resources capacity = runner.capacity();
-            if (!runner.longRunningResources.plus(need).fitsIn(capacity)) {
+            if (!runner.longRunningResources.plus(need).fitsIn(runner.capacity())) {
                 continue;
             }
-            double excess = runner.reservedResources.plus(need).minus(capacity).dominantShare(capacity);
-            if (nearest == null || excess < leastExcess) {
-                nearest = runner;
-                leastExcess = excess;
+            long inMs = expectedFitMs(runner, need, nowMs);
+            if (soonest == null || inMs < soonest.inMs()) {
+                soonest = new ExpectedFit(runner, inMs);
+            }
+        }
+        return Optional.ofNullable(soonest);
+    }
+
+    /** Returns the time until enough short tasks are expected to have ended on a runner for a need to fit. */
+    private static long expectedFitMs(RunnerState runner, Resources need, long nowMs) {
+        List<TaskState> shortTasks = new ArrayList<>();
+        for (TaskState task : runner.tasks.values()) {
+            if (!task.step.spec.hasTrait(Trait.RESTART_ALWAYS)) {
+                shortTasks.add(task);
+            }
+        }
+        shortTasks.sort(Comparator.comparingLong(task -> task.expectedRemainingMs(nowMs)));
+        Resources reserved = runner.reservedResources.plus(need);
+        long inMs = 0;
+        for (TaskState ending : shortTasks) {
+            if (reserved.fitsIn(runner.capacity())) {
+                break;
             }
+            reserved = reserved.minus(ending.step.spec.reservedResources());
+            inMs = ending.expectedRemainingMs(nowMs);
         }
-        return Optional.ofNullable(nearest);
+        return inMs;
     }
 
     private void releaseInvalid(long nowMs) {
@@ -227,7 +251,7 @@
             if (!valid) {
                 task.reservedRunners.remove(reservation.runner().id);
                 release(task);
-            } else if (nowMs - reservation.sinceMs() >= MAX_RESERVATION_MS
+            } else if (nowMs >= reservation.endMs()
                     && runnerSelector
                             .obstacle(task, reservation.runner(), nowMs)
                             .isPresent()) {
--- a/core/src/main/java/org/pollensill/dispatch/Preemptor.java
+++ b/core/src/main/java/org/pollensill/dispatch/Preemptor.java
@@ -201,7 +201,6 @@
     private void evict(Eviction eviction, TaskState beneficiary, long nowMs) {
         for (TaskState victim : eviction.victims()) {
             victim.preempted = true;
-            victim.runner.preemptedAtMs = nowMs;
             listener.preempted(victim.name, victim.runner.id, nowMs - victim.startedAtMs, beneficiary.name);
             reportHandler.stop(victim, Cause.PREEMPTED, nowMs);
         }
--- a/core/src/main/java/org/pollensill/dispatch/RunnerMaintenance.java
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerMaintenance.java
@@ -162,10 +162,7 @@
         if (!task.step.spec.hasTrait(Trait.CHECKPOINTS)) {
             return false;
         }
-        long elapsedMs = nowMs - task.startedAtMs;
-        long remainingMs =
-                task.percent > 0 ? elapsedMs * (PERCENT - task.percent) / task.percent : task.step.spec.estimateMs();
-        return remainingMs > runner.entry.get().remainingMs();
+        return task.expectedRemainingMs(nowMs) > runner.entry.get().remainingMs();
     }
 
     private static boolean isStalled(RunnerState runner, TaskState task, long nowMs) {
--- a/core/src/main/java/org/pollensill/dispatch/RunnerState.java
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerState.java
@@ -38,9 +38,6 @@
     /** The part of the reserved resources that belongs to long-running tasks. */
     Resources longRunningResources = Resources.NONE;
 
-    /** Time of the last preemption on the runner; the freed capacity is meant for the tasks that caused it. */
-    long preemptedAtMs = Long.MIN_VALUE / 2;
-
     /** Capacity that is withheld for waiting tasks for which it is being freed. */
     Resources claimedResources = Resources.NONE;
 
--- a/core/src/main/java/org/pollensill/dispatch/TaskState.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskState.java
@@ -134,6 +134,19 @@
         return step.spec.serviceLevel().tailLatencyTargetMs() > 0;
     }
 
+    /**
+     * Returns how long the run is expected to go on, by its progress or else by its estimate. One that has exceeded its
+     * estimate is expected to take that long again.
+     */
+    long expectedRemainingMs(long nowMs) {
+        long elapsedMs = nowMs - startedAtMs;
+        if (percent > 0) {
+            return elapsedMs * (100 - percent) / percent;
+        }
+        long estimateMs = step.spec.estimateMs();
+        return elapsedMs < estimateMs ? estimateMs - elapsedMs : estimateMs;
+    }
+
     String image() {
         return step.spec.serviceLevel().image().orElse("");
     }
--- a/core/src/test/java/org/pollensill/dispatch/CapacityReservationsTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/CapacityReservationsTest.java
@@ -214,6 +214,51 @@
             assertEquals(second, runner("r2").reservedFor);
         }
 
+        // What is left of it beyond the claims is of no use to them.
+        @Test
+        void shouldPlaceTheTaskOnCapacityThatNoOtherTaskClaims() {
+            list("r1");
+            TaskState task = add(LONG_RUNNING_JOB, longRunning(1, LARGE), T0);
+            runner("r1").claimedResources = Samples.NEED;
+            place(OVERDUE_AT_MS);
+            assertEquals(runner("r1"), task.runner);
+        }
+
+        // The ends of short tasks are expected by their progress, or else by their estimate.
+        @Test
+        void shouldReserveTheRunnerWhoseCapacityIsFreeSoonest() {
+            list("r1", "r2");
+            occupy("r1", 3);
+            for (TaskState late : occupy("r2", 4)) {
+                late.startedAtMs = OVERDUE_AT_MS - 900;
+                late.percent = 90;
+            }
+            for (TaskState early : runner("r1").tasks.values()) {
+                early.startedAtMs = OVERDUE_AT_MS - 400;
+                early.percent = 10;
+            }
+            add(LONG_RUNNING_JOB, longRunning(1, LARGE), T0);
+            place(OVERDUE_AT_MS);
+            assertNull(runner("r1").reservedFor);
+            assertNotNull(runner("r2").reservedFor);
+        }
+
+        // A reservation that ends right before the room is there was in vain.
+        @Test
+        void shouldKeepARunnerReservedUntilItsCapacityIsExpected() {
+            list("r1");
+            for (TaskState held : occupy("r1", 3)) {
+                held.startedAtMs = OVERDUE_AT_MS - 2_500;
+                held.percent = 50;
+            }
+            add(LONG_RUNNING_JOB, longRunning(1, LARGE), T0);
+            place(OVERDUE_AT_MS);
+            place(OVERDUE_AT_MS + 2_600);
+            assertNotNull(runner("r1").reservedFor);
+            place(OVERDUE_AT_MS + CapacityReservations.MAX_RESERVATION_MS);
+            assertNull(runner("r1").reservedFor);
+        }
+
         // Long tasks on the first runner keep it full; the same runner must not be reserved again and again.
         @Test
         void shouldReserveAnotherRunnerIfTheFirstOneStaysFull() {
@@ -223,7 +268,7 @@
             add(LONG_RUNNING_JOB, longRunning(1, LARGE), T0);
             place(OVERDUE_AT_MS);
             assertNotNull(runner("r1").reservedFor);
-            place(OVERDUE_AT_MS + CapacityReservations.MAX_RESERVATION_MS);
+            place(OVERDUE_AT_MS + CapacityReservations.MIN_RESERVATION_MS);
             assertNull(runner("r1").reservedFor);
             assertNotNull(runner("r2").reservedFor);
         }
--- a/core/src/test/java/org/pollensill/dispatch/OverdueTasksTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/OverdueTasksTest.java
@@ -417,7 +417,7 @@
             scripted.plan(T0);
             TaskName task = addJob(LONG_RUNNING_JOB, longRunning(1, LARGE), T0);
             long limitMs = OVERDUE_AT_MS
-                    + 3 * CapacityReservations.MAX_RESERVATION_MS
+                    + 3 * CapacityReservations.MIN_RESERVATION_MS
                     + CapacityReservations.RESERVATION_PAUSE_MS;
             for (long nowMs = T0 + 100; nowMs < limitMs; nowMs += 200) {
                 addJob("%016x".formatted(nowMs), shortOnLabelled(1, 0), nowMs);
