Keep a longer lease that a former leader has named when its runner reports

The leader that saw it knew; its successor counted 5 s from the first report and started the task beside the run. The bound that the former leader has stored now counts.

The model always shortens leases to the longest that runners take, as the contract says; it lets runners die for good and leaders change every 2 to 10 s, and waits that are still open at the end of a play count.

--- a/core/src/main/java/org/pollensill/dispatch/Fleet.java
+++ b/core/src/main/java/org/pollensill/dispatch/Fleet.java
@@ -59,6 +59,7 @@
     private RunnerState create(String id, long incarnationStartMs) {
         RunnerState runner = new RunnerState(id, incarnationStartMs);
         runner.inheritedLeaseExpiryAtMs = inheritedLeases.expiredAtMs(id);
+        runner.namedLeaseExpiryAtMs = inheritedLeases.namedExpiredAtMs(id);
         // Renewals that were sent to this identity before are overtaken by those that follow.
         runner.renewalSequence = lastRenewal;
         runner.lastReportSequence = lastRenewal;
--- a/core/src/main/java/org/pollensill/dispatch/InheritedLeases.java
+++ b/core/src/main/java/org/pollensill/dispatch/InheritedLeases.java
@@ -86,6 +86,11 @@
         return named == null ? expiredAtMs : named.expiredAtMs();
     }
 
+    /** Returns when the leases on a runner have expired that its former leader has named, empty for one not named. */
+    Optional<Long> namedExpiredAtMs(String runner) {
+        return Optional.ofNullable(runners.get(runner)).map(RunnerLease::expiredAtMs);
+    }
+
     /**
      * Returns when the leases on a runner have expired if orders may have reached another incarnation than the one that
      * they were meant for: they named a time on the clock of the former one, which a runner shortens to no less than its
--- a/core/src/main/java/org/pollensill/dispatch/ReportHandler.java
+++ b/core/src/main/java/org/pollensill/dispatch/ReportHandler.java
@@ -48,7 +48,7 @@
         runner.unansweredRenewals = 0;
         if (!runner.fenceConfirmed) {
             runner.fenceConfirmed = true;
-            runner.recordLeaseEnd(report.clockMs() + formerLeaseMs(runner));
+            runner.recordLeaseEnd(report.clockMs() + formerLeaseMs(runner, nowMs));
         }
         for (RunnerReport.EndedRun end : report.ended()) {
             if (end.sequence() > runner.lastSeenEnd) {
@@ -83,13 +83,14 @@
     }
 
     /** Returns the longest lease that former leaders may have granted; see {@link Fleet#extendInheritedLease}. */
-    private static long formerLeaseMs(RunnerState runner) {
+    private static long formerLeaseMs(RunnerState runner, long nowMs) {
         for (TaskState task : runner.tasks.values()) {
             if (task.placedIncarnationStartMs != runner.incarnationStartMs) {
                 return DispatchTiming.MAX_LEASE_MS;
             }
         }
-        return DispatchTiming.LEASE_MS;
+        long namedMs = runner.namedLeaseExpiryAtMs.orElse(nowMs) - nowMs;
+        return Math.max(DispatchTiming.LEASE_MS, namedMs);
     }
 
     private void releaseMissing(
--- a/core/src/main/java/org/pollensill/dispatch/RunnerState.java
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerState.java
@@ -77,6 +77,9 @@
     /** Local time at which leases granted by former leaders are guaranteed to have expired. */
     long inheritedLeaseExpiryAtMs;
 
+    /** The same where a former leader has named the runner, which may hold a longer lease than leaders grant. */
+    Optional<Long> namedLeaseExpiryAtMs = Optional.empty();
+
     boolean renewalInFlight;
     /** Number of the latest renewal; the numbers rise over all runners of the leader. */
     long renewalSequence;
--- a/core/src/test/java/org/pollensill/dispatch/ModelPath.java
+++ b/core/src/test/java/org/pollensill/dispatch/ModelPath.java
@@ -11,5 +11,9 @@
     /** Runners drain, leave after a while and come back. */
     RUNNERS_DRAIN,
     /** Half of the jobs are cancelled while faults occur. */
-    JOBS_CANCELLED
+    JOBS_CANCELLED,
+    /** Half of the runners end for good; the entries of some stay in the list. */
+    RUNNERS_DIE,
+    /** Leaders follow each other every few seconds. */
+    LEADERS_CHANGE_OFTEN
 }
--- a/core/src/test/java/org/pollensill/dispatch/RelatedPathsPropertyTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/RelatedPathsPropertyTest.java
@@ -28,6 +28,12 @@
     private static final int JOBS = 6;
     private static final int LONG_RUNNING_TASKS = 12;
     private static final int TASKS_OF_FULL_FLEET = 16;
+    private static final int TASKS_OF_HALF_A_FLEET = 7;
+    private static final ModelPath[] DYING = {ModelPath.RUNNERS_DIE, ModelPath.LEADERS_CHANGE_OFTEN};
+
+    /** Time without a run for which users count a long-running task as missing: 6 s, and 3 s in which that is seen. */
+    private static final long MISSING_AFTER_MS = 9_000;
+
     private static final int LARGE_JOB_TASKS = ProgressLayout.TASKS_PER_ROW + 20;
     private static final long FIRST_DUE_MS = 3_000;
     private static final long DUE_INTERVAL_MS = 1_500;
@@ -169,9 +175,26 @@
         playLongRunning(seed, longRunning(TASKS_OF_FULL_FLEET), ModelSettings.ALL);
     }
 
+    @Property(tries = TRIES, seed = "20261312", shrinking = ShrinkingMode.OFF)
+    void shouldRunNoTaskTwiceWhenRunnersDieAndLeadersChangeOften(@ForAll @LongRange(min = 0, max = 1_000_000) long seed)
+            throws JsonSyntaxException {
+        takeovers.play(seed, TakeoverPropertyTest.chains(), ModelSettings.ALL.with(DYING));
+    }
+
+    @Property(tries = TRIES, seed = "20261313", shrinking = ShrinkingMode.OFF)
+    void shouldStartTheTasksOfDeadRunnersInTimeWhenLeadersChangeOften(
+            @ForAll @LongRange(min = 0, max = 1_000_000) long seed) throws JsonSyntaxException {
+        playLongRunning(seed, longRunning(TASKS_OF_HALF_A_FLEET), ModelSettings.NONE.with(DYING), MISSING_AFTER_MS);
+    }
+
     private void playLongRunning(long seed, List<JobRequest> jobs, ModelSettings settings) throws JsonSyntaxException {
+        playLongRunning(seed, jobs, settings, START_LIMIT_MS);
+    }
+
+    private void playLongRunning(long seed, List<JobRequest> jobs, ModelSettings settings, long startLimitMs)
+            throws JsonSyntaxException {
         SimulatedCluster cluster = takeovers.runFaults(seed, jobs, settings);
-        takeovers.runOn(cluster, jobs, START_LIMIT_MS);
+        takeovers.runOn(cluster, jobs, startLimitMs);
         int count = jobs.get(0).steps().get(0).count();
         assertEquals(List.of(), cluster.violations, "seed " + seed);
         assertEquals(count, cluster.runningTasks().size(), "seed " + seed + ": tasks at work after the faults");
--- a/core/src/test/java/org/pollensill/dispatch/SimulatedCluster.java
+++ b/core/src/test/java/org/pollensill/dispatch/SimulatedCluster.java
@@ -75,7 +75,7 @@
         this.settings = settings;
         for (int i = 0; i < runnerCount; i++) {
             String id = "r" + i;
-            SimulatedRunner runner = new SimulatedRunner(id, newAddress(), FIRST_START_MS, settings.nextLives(), this);
+            SimulatedRunner runner = new SimulatedRunner(id, newAddress(), FIRST_START_MS, this);
             runners.put(id, runner);
             published.put(id, entry(runner));
         }
--- a/core/src/test/java/org/pollensill/dispatch/SimulatedRunner.java
+++ b/core/src/test/java/org/pollensill/dispatch/SimulatedRunner.java
@@ -58,7 +58,6 @@
     /** Time from which the process of this incarnation runs. */
     long upAtMs;
 
-    private final boolean leasesShortened;
     private final Observer observer;
     private final Map<TaskName, Running> running = new HashMap<>();
     private final Map<TaskName, Integer> highestRun = new HashMap<>();
@@ -69,10 +68,9 @@
     private long nextEnd = 1;
     private long clockStartMs;
 
-    SimulatedRunner(String id, String address, long incarnationStartMs, boolean leasesShortened, Observer observer) {
+    SimulatedRunner(String id, String address, long incarnationStartMs, Observer observer) {
         this.id = id;
         this.address = address;
-        this.leasesShortened = leasesShortened;
         this.incarnationStartMs = incarnationStartMs;
         this.observer = observer;
         this.clockStartMs = 0;
@@ -146,7 +144,7 @@
     }
 
     private long grantedLeaseEndMs(long requestedMs, long nowMs) {
-        return leasesShortened ? Math.min(requestedMs, clock(nowMs) + HOLD_MAX_MS) : requestedMs;
+        return Math.min(requestedMs, clock(nowMs) + HOLD_MAX_MS);
     }
 
     OrderAnswer start(StartOrder order, long nowMs) {
--- a/core/src/test/java/org/pollensill/dispatch/TakeoverPropertyTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/TakeoverPropertyTest.java
@@ -40,8 +40,13 @@
     /** Longest time between a takeover and a restart of a runner that comes with it. */
     private static final int NEAR_TAKEOVER_MS = 2_000;
 
+    private static final int MIN_TERM_MS = 2_000;
+    private static final int MAX_TERM_MS = 10_000;
+
     private final List<SimulatedLeader> leaders = new ArrayList<>();
     private long takeoverDueAtMs;
+    private long changeDueAtMs;
+    private int lostRunners;
 
     @Property(tries = 600, seed = "20261204")
     void shouldRunNoTaskTwiceAndEndEveryJob(@ForAll @LongRange(min = 0, max = 1_000_000) long seed)
@@ -139,6 +144,8 @@
         cluster.setJobs(jobs);
         leaders.clear();
         takeoverDueAtMs = Long.MAX_VALUE;
+        changeDueAtMs = cluster.nowMs() + MIN_TERM_MS;
+        lostRunners = 0;
         leaders.add(SimulatedLeader.takeOver(cluster, "c0-", jobs));
         cluster.setLossProbability(cluster.random().nextDouble() * 0.3);
         long faultPhaseEndMs = cluster.nowMs() + FAULT_PHASE_MS;
@@ -187,6 +194,17 @@
         if (settings.takes(ModelPath.LEADER_ENDS_GRACEFULLY) && cluster.random().nextInt(1_000) < 8) {
             currentLeader().release();
         }
+        if (settings.takes(ModelPath.RUNNERS_DIE)
+                && lostRunners < RUNNERS / 2
+                && cluster.random().nextInt(1_000) < 2) {
+            long listedMs = cluster.random().nextBoolean() ? cluster.random().nextInt(5_000) : FAULT_PHASE_MS * 10;
+            cluster.loseForGood("r" + lostRunners, listedMs);
+            lostRunners++;
+        }
+        if (settings.takes(ModelPath.LEADERS_CHANGE_OFTEN) && cluster.nowMs() >= changeDueAtMs) {
+            changeDueAtMs = cluster.nowMs() + MIN_TERM_MS + cluster.random().nextInt(MAX_TERM_MS - MIN_TERM_MS);
+            takeOver(cluster, jobs, currentLeader().unconfirmedMs() >= LEADER_LEASE_MS);
+        }
         if (settings.takes(ModelPath.JOBS_CANCELLED)) {
             for (int i = 0; i < jobs.size(); i += 2) {
                 String id = jobs.get(i).id();
--- a/core/src/test/java/org/pollensill/dispatch/WithoutRunTimes.java
+++ b/core/src/test/java/org/pollensill/dispatch/WithoutRunTimes.java
@@ -75,6 +75,14 @@
         }
     }
 
+    /** Counts the waits that have not ended. */
+    void close(long nowMs) {
+        waitsSinceTakeoverMs.values().forEach(sinceMs -> afterTakeoverMs.add(nowMs - sinceMs));
+        waitsSinceRestartMs.values().forEach(sinceMs -> afterRestartMs.add(nowMs - sinceMs));
+        waitsSinceTakeoverMs.clear();
+        waitsSinceRestartMs.clear();
+    }
+
     void onEnd(TaskName task, EndKind kind, long nowMs) {
         running.remove(task);
         if (kind == EndKind.DONE) {
--- a/core/src/test/java/org/pollensill/dispatch/WithoutRunTimesTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/WithoutRunTimesTest.java
@@ -23,6 +23,7 @@
         for (long seed = 0; seed < PLAYS; seed++) {
             SimulatedCluster cluster = new TakeoverPropertyTest()
                     .run(seed, TakeoverPropertyTest.chains(), widened ? ModelSettings.ALL : ModelSettings.NONE);
+            cluster.withoutRun.close(cluster.nowMs());
             afterTakeoverMs.addAll(cluster.withoutRun.afterTakeoverMs);
             afterRestartMs.addAll(cluster.withoutRun.afterRestartMs);
         }
