--- a/core/src/main/java/org/pollensill/dispatch/RunnerMaintenance.java
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerMaintenance.java
@@ -221,8 +221,10 @@
         boolean longPoll = untilMs.isPresent() && runner.lastSeenEnd == runner.lastDurableEnd;
         boolean sharedRunner = runner.latencyCriticalImageCount() > 0 && runner.bestEffortMillicores > 0;
         boolean lossExpected = nowMs - unansweredAtMs < LOSS_EXPECTED_MS;
+        // While leases are limited by an old commit, the next one has to be followed by renewals soon.
+        boolean leaseLimited = orders.maxLeaseMs() < DispatchTiming.LEASE_MS + DispatchTiming.REPORT_WAIT_MS;
         // While answers are delayed, more reports would delay them further.
-        boolean shortWait = (sharedRunner || lossExpected) && !orders.congested();
+        boolean shortWait = (sharedRunner || lossExpected || leaseLimited) && !orders.congested();
         long waitMs = shortWait ? DispatchTiming.SHORT_REPORT_WAIT_MS : DispatchTiming.REPORT_WAIT_MS;
         runner.renewalAddress = to.get().address();
         runner.renewalInFlight = true;
--- a/core/src/test/java/org/pollensill/dispatch/FleetSimulation.java
+++ b/core/src/test/java/org/pollensill/dispatch/FleetSimulation.java
@@ -451,7 +451,7 @@
 
         @Override
         public long maxLeaseMs() {
-            return DispatchTiming.LEASE_MS;
+            return DispatchTiming.UNCONFIRMED_RENEWAL_LIMIT_MS;
         }
 
         @Override
--- a/core/src/test/java/org/pollensill/dispatch/LeaseBoundsRecorderTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/LeaseBoundsRecorderTest.java
@@ -116,4 +116,25 @@
             assertEquals(List.of(), orders.renewals);
         }
     }
+
+    /** The commits of the leader are not known to be stored any more. */
+    @Nested
+    class OldCommit {
+
+        @Test
+        void shouldLimitTheLeasesThatAreGranted() {
+            orders.maxLeaseMs = 3_000;
+            RecordedOrders.Renewal renewal = nextRenewal(T0 + 100);
+            long untilMs = renewal.order().leaseEndMs().orElseThrow();
+            assertTrue(untilMs <= RUNNER_CLOCK_MS + 100 + 3_000, untilMs + " ms");
+            assertEquals(DispatchTiming.SHORT_REPORT_WAIT_MS, renewal.order().waitMs());
+        }
+
+        @Test
+        void shouldPermitNoLeaseOnceItsLimitHasPassed() {
+            orders.maxLeaseMs = 0;
+            dispatcher.tick(T0 + 100, T0 + 100, true);
+            assertEquals(List.of(), orders.renewals);
+        }
+    }
 }
--- a/core/src/test/java/org/pollensill/dispatch/RecordedOrders.java
+++ b/core/src/test/java/org/pollensill/dispatch/RecordedOrders.java
@@ -22,7 +22,7 @@
     long answerTimeoutMs = 150;
     boolean congested;
     boolean mayStart = true;
-    long maxLeaseMs = DispatchTiming.LEASE_MS;
+    long maxLeaseMs = DispatchTiming.UNCONFIRMED_RENEWAL_LIMIT_MS;
     final List<Start> starts = new ArrayList<>();
     final List<Stop> stops = new ArrayList<>();
     final List<Renewal> renewals = new ArrayList<>();
