--- a/coordinator/src/main/java/org/pollensill/coordinator/Committer.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Committer.java
@@ -10,6 +10,7 @@
 import org.pollensill.dispatch.Dispatcher;
 import org.pollensill.leader.CommitChain;
 import org.pollensill.leader.LeaseBounds;
+import org.pollensill.leader.LeaseLimit;
 import org.pollensill.platform.PlatformException;
 import org.pollensill.platform.Row;
 import org.pollensill.platform.RowStore;
@@ -47,18 +48,13 @@
     private final Runnable onDeposed;
     private final Runnable onIdle;
     private final Consumer<LeaseBounds> onLeaseBoundsStored;
+    private final LeaseLimit leaseLimit = LeaseLimit.of(Dispatcher.unconfirmedRenewalLimitMs());
     private Consumer<Result> outcomeListener = committed -> {};
     private Optional<Runnable> onReleased = Optional.empty();
     private Runnable beforeRelease = () -> {};
     private long commitStartMs;
     private long leaseConfirmedMs;
     private long lastCommittedMs;
-    /** Start of the last commit that is known to be stored, from which the bounds of leases in it count. */
-    private long storedCommitStartMs;
-
-    /** Whether the process was suspended while the commit in flight was, so that its start is of unknown age. */
-    private boolean suspendedInCommit;
-
     private Optional<LeaseBounds> boundsInFlight = Optional.empty();
     private Supplier<LeaseBounds> finalBounds = () -> LeaseBounds.NONE;
     private long clockOffsetMs;
@@ -82,7 +78,6 @@
         this.commitStartMs = loop.nowMs();
         this.leaseConfirmedMs = loop.nowMs();
         this.lastCommittedMs = loop.nowMs();
-        this.storedCommitStartMs = Long.MIN_VALUE / 2;
         this.clockOffsetMs = loop.wallClockMs() - loop.nowMs();
     }
 
@@ -112,11 +107,7 @@
      */
     long maxLeaseMs() {
         detectSuspension();
-        long limitMs = Dispatcher.unconfirmedRenewalLimitMs();
-        if (loop.nowMs() - leaseConfirmedMs >= limitMs) {
-            return 0;
-        }
-        return Math.max(0, storedCommitStartMs + limitMs - loop.nowMs());
+        return leaseLimit.maxLeaseMs(loop.nowMs());
     }
 
     /** Returns whether the leader lease was confirmed recently enough to start runs, and requests its confirmation. */
@@ -134,8 +125,7 @@
         if (suspended) {
             LOG.log(CoordinatorEvent.PROCESS_SUSPENDED, "aheadMs", offsetMs - clockOffsetMs);
             leaseConfirmedMs = Long.MIN_VALUE / 2;
-            storedCommitStartMs = Long.MIN_VALUE / 2;
-            suspendedInCommit = true;
+            leaseLimit.onSuspended();
             confirmationRequested = true;
         }
         clockOffsetMs = offsetMs;
@@ -188,8 +178,8 @@
 
     private void begin(Map<String, Integer> waitingJobs, LeaseBounds leases, boolean released, List<Write> writes) {
         commitStartMs = loop.nowMs();
-        suspendedInCommit = false;
         boundsInFlight = Optional.of(leases);
+        leaseLimit.onCommitBegun(leases, commitStartMs);
         chain.begin(waitingJobs, leases, released, writes);
         send();
     }
@@ -273,8 +263,7 @@
     private void onBoundsStored() {
         LeaseBounds stored = boundsInFlight.orElseThrow();
         boundsInFlight = Optional.empty();
-        boolean grants = stored.ownMs() > 0 && !suspendedInCommit;
-        storedCommitStartMs = grants ? commitStartMs : Long.MIN_VALUE / 2;
+        leaseLimit.onCommitStored();
         onLeaseBoundsStored.accept(stored);
     }
 
--- a/core/src/test/java/org/pollensill/dispatch/SimulatedLeader.java
+++ b/core/src/test/java/org/pollensill/dispatch/SimulatedLeader.java
@@ -17,6 +17,7 @@
 import org.pollensill.leader.CommitChain;
 import org.pollensill.leader.LeaderRow;
 import org.pollensill.leader.LeaseBounds;
+import org.pollensill.leader.LeaseLimit;
 import org.pollensill.platform.CommitOutcome;
 import org.pollensill.platform.PlatformException;
 import org.pollensill.platform.Row;
@@ -49,8 +50,7 @@
     private Optional<Batch> batchInFlight = Optional.empty();
     private boolean commitPending;
     private LeaseBounds boundsInFlight = LeaseBounds.NONE;
-    private long commitBegunAtMs;
-    private long boundsStoredAtMs = Long.MIN_VALUE / 2;
+    private final LeaseLimit leaseLimit = LeaseLimit.of(Dispatcher.unconfirmedRenewalLimitMs());
     private long leaseConfirmedAtMs;
     private long listReadAtMs;
     private boolean releasing;
@@ -221,7 +221,7 @@
 
     private void begin(LeaseBounds bounds, boolean releases) {
         boundsInFlight = bounds;
-        commitBegunAtMs = cluster.nowMs();
+        leaseLimit.onCommitBegun(bounds, cluster.nowMs());
         chain.begin(Map.of(), bounds, releases, batchInFlight.map(Batch::writes).orElseGet(ArrayList::new));
         send();
     }
@@ -252,7 +252,7 @@
             case COMMITTED:
                 commitPending = false;
                 leaseConfirmedAtMs = sentMs;
-                boundsStoredAtMs = boundsInFlight.ownMs() > 0 ? commitBegunAtMs : Long.MIN_VALUE / 2;
+                leaseLimit.onCommitStored();
                 dispatcher.leaseBoundsStored(boundsInFlight);
                 if (ordersClosed) {
                     cluster.trace("fence " + fencingToken + " has released its lease");
@@ -349,7 +349,7 @@
 
     @Override
     public long maxLeaseMs() {
-        return Math.max(0, boundsStoredAtMs + Dispatcher.unconfirmedRenewalLimitMs() - cluster.nowMs());
+        return leaseLimit.maxLeaseMs(cluster.nowMs());
     }
 
     @Override
