--- a/core/src/main/java/org/pollensill/dispatch/InheritedLeases.java
+++ b/core/src/main/java/org/pollensill/dispatch/InheritedLeases.java
@@ -16,15 +16,13 @@
 
     private record RunnerLease(long incarnationStartMs, long expiredAtMs) {}
 
-    private final long seenAtMs;
-    /** Time from which no former leader sends orders, except to the named runners, which get none already. */
+    /** Time from which no former leader sends orders. */
     private final long ordersEndAtMs;
 
     private final long expiredAtMs;
     private final Map<String, RunnerLease> runners;
 
-    private InheritedLeases(long seenAtMs, long ordersEndAtMs, long expiredAtMs, Map<String, RunnerLease> runners) {
-        this.seenAtMs = seenAtMs;
+    private InheritedLeases(long ordersEndAtMs, long expiredAtMs, Map<String, RunnerLease> runners) {
         this.ordersEndAtMs = ordersEndAtMs;
         this.expiredAtMs = expiredAtMs;
         this.runners = Map.copyOf(runners);
@@ -38,10 +36,7 @@
      */
     public static InheritedLeases unrecorded(long ordersEndAtMs) {
         return new InheritedLeases(
-                ordersEndAtMs,
-                ordersEndAtMs,
-                ordersEndAtMs + DispatchTiming.maxLocalLeaseMs(DispatchTiming.LEASE_MS),
-                Map.of());
+                ordersEndAtMs, ordersEndAtMs + DispatchTiming.maxLocalLeaseMs(DispatchTiming.LEASE_MS), Map.of());
     }
 
     /**
@@ -74,10 +69,7 @@
                 .forEach((id, bound) ->
                         runners.put(id, new RunnerLease(bound.incarnationStartMs(), seenAtMs + bound.remainingMs())));
         return new InheritedLeases(
-                seenAtMs,
-                Math.max(ownOrdersEndAtMs, formerExpiredAtMs),
-                Math.max(ownExpiredAtMs, formerExpiredAtMs),
-                runners);
+                Math.max(ownOrdersEndAtMs, formerExpiredAtMs), Math.max(ownExpiredAtMs, formerExpiredAtMs), runners);
     }
 
     /** Returns when the leases on a runner have expired, granted on the clock of the incarnation that is known. */
@@ -97,13 +89,14 @@
      * maximum. A bound that was stored when that incarnation was known already counts.
      */
     long expiredInAnyIncarnationAtMs(String runner, long incarnationStartMs) {
-        long longestMs = DispatchTiming.maxLocalLeaseMs(DispatchTiming.MAX_LEASE_MS);
+        long longestAtMs = ordersEndAtMs + DispatchTiming.maxLocalLeaseMs(DispatchTiming.MAX_LEASE_MS);
         RunnerLease named = runners.get(runner);
         if (named == null) {
-            return ordersEndAtMs + longestMs;
+            return longestAtMs;
         }
+        // The promise made for a named runner does not hold back orders that are carried out late.
         boolean covered = named.incarnationStartMs() == incarnationStartMs;
-        return covered ? named.expiredAtMs() : Math.max(named.expiredAtMs(), seenAtMs + longestMs);
+        return covered ? named.expiredAtMs() : Math.max(named.expiredAtMs(), longestAtMs);
     }
 
     /**
