--- a/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
@@ -68,7 +68,7 @@
         this.withoutRunMonitor = new WithoutRunMonitor(jobs, fleet, runnerSelector, listener);
         this.advicePoller = new AdvicePoller(jobs, fleet);
         this.maintenance =
-                new RunnerMaintenance(jobs, fleet, reportHandler, starts, health, orders, leaseBounds, fencingToken);
+                new RunnerMaintenance(fleet, reportHandler, starts, health, orders, leaseBounds, fencingToken);
         InterferenceController interferenceController =
                 new InterferenceController(orders, reportHandler, interferenceModel, taskScheduler::hasBetterRunner);
         this.answers = new AnswerHandler(fleet, reportHandler, interferenceController, maintenance, listener);
--- a/core/src/main/java/org/pollensill/dispatch/RunnerMaintenance.java
+++ b/core/src/main/java/org/pollensill/dispatch/RunnerMaintenance.java
@@ -33,7 +33,6 @@
 
     private static final int PERCENT = 100;
 
-    private final JobTable jobs;
     private final Fleet fleet;
     private final ReportHandler reportHandler;
     private final StartSender starts;
@@ -44,7 +43,6 @@
     private long unansweredAtMs = Long.MIN_VALUE / 2;
 
     RunnerMaintenance(
-            JobTable jobs,
             Fleet fleet,
             ReportHandler reportHandler,
             StartSender starts,
@@ -52,7 +50,6 @@
             Orders orders,
             LeaseBoundsRecorder leaseBounds,
             long fencingToken) {
-        this.jobs = jobs;
         this.fleet = fleet;
         this.reportHandler = reportHandler;
         this.starts = starts;
