--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
@@ -134,7 +134,7 @@
         releasing = true;
         committer.release(
                 dispatcher.waitingJobs(),
-                () -> dispatcher.finalLeaseBounds(loop.nowMs()),
+                () -> dispatcher.leaseBounds().finalBounds(loop.nowMs()),
                 this::sendFinalRenewals,
                 () -> {
                     stop();
@@ -151,7 +151,7 @@
     }
 
     private void onLeaseBoundsStored(LeaseBounds bounds) {
-        dispatcher.leaseBoundsStored(bounds);
+        dispatcher.leaseBounds().stored(bounds);
     }
 
     Optional<JobStatus> status(String id) {
@@ -322,7 +322,7 @@
         Optional<Batch> batch = dispatcher.plan(nowMs);
         boolean renew = nowMs - committer.lastCommitStartMs() >= LEASE_RENEWAL_INTERVAL_MS
                 || committer.confirmationRequested()
-                || dispatcher.awaitsLeaseBounds();
+                || dispatcher.leaseBounds().awaitsCommit();
         if (batch.isEmpty() && !renew) {
             return;
         }
@@ -332,7 +332,7 @@
         writes.addAll(expired);
         Optional<Write> estimates = estimatesWrite(nowMs);
         estimates.ifPresent(writes::add);
-        committer.commit(dispatcher.waitingJobs(), dispatcher.leaseBounds(nowMs), writes, result -> {
+        committer.commit(dispatcher.waitingJobs(), dispatcher.leaseBounds().bounds(nowMs), writes, result -> {
             // Deletions that the store rejects are left to the next leader, so that the lease can be renewed.
             if (result == Committer.Result.WITHDRAWN) {
                 expiry.restore(expired);
--- a/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
@@ -10,7 +10,6 @@
 import org.pollensill.job.JobStatus;
 import org.pollensill.job.TaskName;
 import org.pollensill.json.JsonSyntaxException;
-import org.pollensill.leader.LeaseBounds;
 import org.pollensill.queue.QueueCatalogue;
 import org.pollensill.runner.AdviceAnswer;
 import org.pollensill.runner.OrderAnswer;
@@ -182,6 +181,7 @@
      */
     public void startOrders() {
         active = true;
+        leaseBounds.activate();
     }
 
     /**
@@ -393,44 +393,12 @@
     }
 
     /**
-     * Returns the bounds of leases to be stored with the commit that begins now. Some runners get no lease until a commit
-     * has taken effect that no longer names them.
+     * Returns the bounds of leases that are stored with each commit.
      *
-     * @param nowMs the time
-     * @return the bounds
-     */
-    public LeaseBounds leaseBounds(long nowMs) {
-        return leaseBounds.bounds(
-                active, DispatchTiming.maxLocalLeaseMs(DispatchTiming.UNCONFIRMED_RENEWAL_LIMIT_MS), nowMs);
-    }
-
-    /**
-     * Returns the bounds of leases to be stored when this leader releases its lease: it grants none after that.
-     *
-     * @param nowMs the time
-     * @return the bounds
-     */
-    public LeaseBounds finalLeaseBounds(long nowMs) {
-        long ownMs = DispatchTiming.maxLocalLeaseMs(DispatchTiming.LEASE_MS) + DispatchTiming.LEASE_EXPIRY_MARGIN_MS;
-        return leaseBounds.bounds(active, ownMs, nowMs);
-    }
-
-    /**
-     * Handles a commit that has taken effect.
-     *
-     * @param bounds the bounds that it has stored
-     */
-    public void leaseBoundsStored(LeaseBounds bounds) {
-        leaseBounds.stored(bounds);
-    }
-
-    /**
-     * Returns whether a commit is needed before a runner that answers may get a lease.
-     *
-     * @return whether new bounds should be stored
+     * @return a view of the leases that this dispatcher grants and inherits
      */
-    public boolean awaitsLeaseBounds() {
-        return leaseBounds.awaitsCommit(active);
+    public LeaseBoundsRecorder leaseBounds() {
+        return leaseBounds;
     }
 
     /**
--- a/core/src/main/java/org/pollensill/dispatch/LeaseBoundsRecorder.java
+++ b/core/src/main/java/org/pollensill/dispatch/LeaseBoundsRecorder.java
@@ -15,7 +15,7 @@
  * is a promise: once it may be stored, the runner gets no lease until a later commit without it has taken effect, so a
  * successor need not wait for leases that could have been granted meanwhile.
  */
-final class LeaseBoundsRecorder {
+public final class LeaseBoundsRecorder {
 
     /** Maximum number of named runners, which limits the size of the leader row. */
     static final int MAX_NAMED_RUNNERS = 200;
@@ -28,6 +28,7 @@
     /** Runners that get no lease, since a commit may be stored that promises so. */
     private final Set<String> promised = new HashSet<>();
 
+    private boolean active;
     private boolean grants;
     private boolean grantsStored;
 
@@ -36,14 +37,34 @@
         this.inherited = inherited;
     }
 
+    /** Lets this leader grant leases, since all stored placements are known. */
+    void activate() {
+        active = true;
+    }
+
+    /**
+     * Returns the bounds for the commit that begins now. Some runners get no lease until a commit has taken effect that no
+     * longer names them.
+     *
+     * @param nowMs the time
+     * @return the bounds
+     */
+    public LeaseBounds bounds(long nowMs) {
+        return bounds(DispatchTiming.maxLocalLeaseMs(DispatchTiming.UNCONFIRMED_RENEWAL_LIMIT_MS), nowMs);
+    }
+
     /**
-     * Returns the bounds for the next commit.
+     * Returns the bounds for the commit by which this leader releases its lease: it grants none after that.
      *
-     * @param active whether all stored placements are known
-     * @param ownMs time for which leases that are granted before the following commit may last
      * @param nowMs the time
+     * @return the bounds
      */
-    LeaseBounds bounds(boolean active, long ownMs, long nowMs) {
+    public LeaseBounds finalBounds(long nowMs) {
+        long ownMs = DispatchTiming.maxLocalLeaseMs(DispatchTiming.LEASE_MS) + DispatchTiming.LEASE_EXPIRY_MARGIN_MS;
+        return bounds(ownMs, nowMs);
+    }
+
+    private LeaseBounds bounds(long ownMs, long nowMs) {
         grants = grants || active && hasResponsiveRunner();
         if (!grants) {
             return inherited.remaining(nowMs);
@@ -72,8 +93,12 @@
         return new LeaseBounds(unnamedMs, ownMs, runners);
     }
 
-    /** Handles a commit that has taken effect: only the runners that it names get no lease. */
-    void stored(LeaseBounds bounds) {
+    /**
+     * Handles a commit that has taken effect: only the runners that it names get no lease.
+     *
+     * @param bounds the bounds that it has stored
+     */
+    public void stored(LeaseBounds bounds) {
         grantsStored = grantsStored || bounds.ownMs() > 0;
         promised.removeIf(id -> {
             LeaseBounds.RunnerBound bound = bounds.runners().get(id);
@@ -86,8 +111,12 @@
         return !promised.contains(runner.id);
     }
 
-    /** Returns whether a runner waits for a commit to get a lease. */
-    boolean awaitsCommit(boolean active) {
+    /**
+     * Returns whether a runner that answers waits for a commit to get a lease.
+     *
+     * @return whether new bounds should be stored
+     */
+    public boolean awaitsCommit() {
         if (active && !grantsStored && hasResponsiveRunner()) {
             return true;
         }
--- a/core/src/main/java/org/pollensill/dispatch/ReportHandler.java
+++ b/core/src/main/java/org/pollensill/dispatch/ReportHandler.java
@@ -75,7 +75,7 @@
             running.put(row.task(), row);
             applyRunning(runner, row, sequence, nowMs);
         }
-        forgetEndedStrayRuns(runner, running.keySet());
+        StrayRuns.forgetEnded(runner, running.keySet());
         // An omitted end may be that of a run that is no longer listed.
         if (!report.mayOmitEnds()) {
             releaseMissing(runner, sequence, running, nowMs);
@@ -123,7 +123,7 @@
         TaskState task = runner.tasks.get(row.task());
         if (task == null || task.run != row.run()) {
             runner.address().ifPresent(to -> orders.stop(to, row.task(), row.run()));
-            awaitEndOfStrayRun(runner, row.task(), nowMs);
+            jobs.task(row.task()).ifPresent(found -> StrayRuns.add(found, runner, nowMs));
             return;
         }
         if (sequence == runner.renewalSequence) {
@@ -146,25 +146,6 @@
         }
     }
 
-    /** Lets a gang wait for the end of a member's former run; the gang starts as a whole, so the run is not taken back. */
-    private void awaitEndOfStrayRun(RunnerState runner, TaskName name, long nowMs) {
-        Optional<TaskState> found = jobs.task(name);
-        if (found.isPresent() && found.get().step.spec.hasTrait(Trait.GANG)) {
-            runner.strayRuns.add(found.get());
-            found.get().strayRunEndMs = nowMs + DispatchTiming.maxLocalLeaseMs(DispatchTiming.MAX_LEASE_MS);
-        }
-    }
-
-    private static void forgetEndedStrayRuns(RunnerState runner, Set<TaskName> running) {
-        runner.strayRuns.removeIf(task -> {
-            boolean ended = !running.contains(task.name);
-            if (ended) {
-                task.strayRunEndMs = 0;
-            }
-            return ended;
-        });
-    }
-
     /** Takes back a run that is at work although it was released, so that the task is not started beside it. */
     private void resumeIfReleased(RunnerState runner, RunnerReport.RunningTask row, long nowMs) {
         Optional<TaskState> found = jobs.task(row.task());
--- a/core/src/test/java/org/pollensill/dispatch/LeaseBoundsRecorderTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/LeaseBoundsRecorderTest.java
@@ -33,8 +33,8 @@
     }
 
     private LeaseBounds store(long nowMs) {
-        LeaseBounds bounds = dispatcher.leaseBounds(nowMs);
-        dispatcher.leaseBoundsStored(bounds);
+        LeaseBounds bounds = dispatcher.leaseBounds().bounds(nowMs);
+        dispatcher.leaseBounds().stored(bounds);
         return bounds;
     }
 
@@ -73,8 +73,8 @@
             Dispatcher successor = Dispatcher.takeOver(
                     8, InheritedLeases.unrecorded(T0), "progress/", new RecordedOrders(), new CountingListener());
             successor.startOrders();
-            assertEquals(0, successor.leaseBounds(T0).ownMs());
-            assertTrue(successor.leaseBounds(T0).formerMs() >= DispatchTiming.LEASE_MS);
+            assertEquals(0, successor.leaseBounds().bounds(T0).ownMs());
+            assertTrue(successor.leaseBounds().bounds(T0).formerMs() >= DispatchTiming.LEASE_MS);
         }
     }
 
@@ -86,11 +86,11 @@
             silence(T0 + 100);
             store(T0 + 200);
             answer(T0 + 400);
-            assertTrue(dispatcher.awaitsLeaseBounds());
+            assertTrue(dispatcher.leaseBounds().awaitsCommit());
             dispatcher.tick(T0 + 450, T0 + 450, true);
             assertEquals(List.of(), orders.renewals);
             store(T0 + 460);
-            assertFalse(dispatcher.awaitsLeaseBounds());
+            assertFalse(dispatcher.leaseBounds().awaitsCommit());
             assertTrue(nextRenewal(T0 + 500).order().leaseEndMs().isPresent());
         }
 
@@ -98,11 +98,11 @@
         @Test
         void shouldGetNoLeaseWhileTheCommitWithItsNameIsInFlight() {
             silence(T0 + 100);
-            LeaseBounds inFlight = dispatcher.leaseBounds(T0 + 200);
+            LeaseBounds inFlight = dispatcher.leaseBounds().bounds(T0 + 200);
             answer(T0 + 400);
             dispatcher.tick(T0 + 450, T0 + 450, true);
             assertEquals(List.of(), orders.renewals);
-            dispatcher.leaseBoundsStored(inFlight);
+            dispatcher.leaseBounds().stored(inFlight);
             dispatcher.tick(T0 + 500, T0 + 500, true);
             assertEquals(List.of(), orders.renewals);
         }
--- a/core/src/test/java/org/pollensill/dispatch/SimulatedLeader.java
+++ b/core/src/test/java/org/pollensill/dispatch/SimulatedLeader.java
@@ -207,7 +207,7 @@
             return;
         }
         batchInFlight = dispatcher.plan(cluster.nowMs());
-        begin(dispatcher.leaseBounds(cluster.nowMs()), false);
+        begin(dispatcher.leaseBounds().bounds(cluster.nowMs()), false);
     }
 
     private void finalRenewals() {
@@ -216,7 +216,7 @@
         }
         ordersClosed = true;
         batchInFlight = Optional.empty();
-        begin(dispatcher.finalLeaseBounds(cluster.nowMs()), true);
+        begin(dispatcher.leaseBounds().finalBounds(cluster.nowMs()), true);
     }
 
     private void begin(LeaseBounds bounds, boolean releases) {
@@ -253,7 +253,7 @@
                 commitPending = false;
                 leaseConfirmedAtMs = sentMs;
                 leaseLimit.onCommitStored();
-                dispatcher.leaseBoundsStored(boundsInFlight);
+                dispatcher.leaseBounds().stored(boundsInFlight);
                 if (ordersClosed) {
                     cluster.trace("fence " + fencingToken + " has released its lease");
                     released = true;
