--- a/core/src/main/java/org/pollensill/leader/LeaseBounds.java
+++ b/core/src/main/java/org/pollensill/leader/LeaseBounds.java
@@ -12,7 +12,8 @@
  * For how long runners may still hold leases. A leader stores the bounds with each commit, and they hold until its next
  * one, so that a successor does not count them from its own takeover. All times count from the commit.
  *
- * @param formerMs time until the leases of all leaders before this one have expired, on the runners that are not named
+ * @param formerMs time until the leases that were granted before the commit, by any leader, have expired on the runners
+ *     that are not named; 0 where that is no longer than the next bound
  * @param ownMs time until the leases of this leader have expired on these runners; 0 before it grants any
  * @param runners bounds of the leases of single runners, whoever has granted them
  */
