--- a/core/src/main/java/org/pollensill/dispatch/LeaseBoundsRecorder.java
+++ b/core/src/main/java/org/pollensill/dispatch/LeaseBoundsRecorder.java
@@ -17,8 +17,8 @@
  */
 public final class LeaseBoundsRecorder {
 
-    /** Maximum number of named runners, which limits the size of the leader row. */
-    static final int MAX_NAMED_RUNNERS = 200;
+    /** Maximum number of named runners; with the longest identities they take 46 KB of the leader row. */
+    static final int MAX_NAMED_RUNNERS = 100;
 
     private static final Comparator<RunnerState> BY_LEASE_EXPIRY =
             Comparator.comparingLong(RunnerState::leaseExpiredAtMs);
--- a/core/src/test/java/org/pollensill/dispatch/LeaseBoundsRecorderTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/LeaseBoundsRecorderTest.java
@@ -1,6 +1,8 @@
 package org.pollensill.dispatch;
 
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -8,6 +10,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.pollensill.job.PlacementRule;
+import org.pollensill.leader.LeaderRow;
 import org.pollensill.leader.LeaseBounds;
 import org.pollensill.runner.OrderOutcome;
 import org.pollensill.runner.RenewalAnswer;
@@ -76,6 +79,20 @@
             assertEquals(0, successor.leaseBounds().bounds(T0).ownMs());
             assertTrue(successor.leaseBounds().bounds(T0).formerMs() >= DispatchTiming.LEASE_MS);
         }
+
+        // The store rejects a row of more than 64 KB, and with it each commit of the leader.
+        @Test
+        void shouldFitIntoARowOfTheStoreWithTheLongestIdentities() {
+            Map<String, LeaseBounds.RunnerBound> runners = new LinkedHashMap<>();
+            for (int i = 0; i < LeaseBoundsRecorder.MAX_NAMED_RUNNERS; i++) {
+                String id = "\"".repeat(197) + String.format("%03d", i);
+                runners.put(id, new LeaseBounds.RunnerBound(1_796_532_194_246L, 18_300));
+            }
+            LeaderRow row = new LeaderRow(
+                    "a", "a-1", "", 1, 1, false, Map.of(), Optional.of(new LeaseBounds(18_300, 8_300, runners)));
+            int bytes = row.encode().length();
+            assertTrue(bytes < 50_000, bytes + " bytes");
+        }
     }
 
     @Nested
