--- a/review/standin-2/Runner.java
+++ b/review/standin-2/Runner.java
@@ -24,7 +24,7 @@
 
     private static final long HEARTBEAT_MS = 1_500;
     private static final long HOLD_MAX_MS = 6_000;
-    private static final long STOP_MS = 300;
+    private static final long STOP_MS = Long.getLong("stop", 300);
     private static final long STARTUP_MS = 500;
     private static final long ADVANCE_MS = 10;
 
