--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins and the scripts of the cases 11 and later; needs a JDK 17 and no other library.
+# Builds the stand-ins and the scripts of the cases 11 to 15; needs a JDK 17 and no other library.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
