Bound a turn of the leader's loop whatever was accepted

Cause: readySteps computed the lateness of each ready step by an array over the steps of all occurrences of its job, in each round and again in each search for advice. jstack of the processes of the case on shows the event loops in JobTable.readySteps, below Dispatcher.plan and AdvicePoller.next.

Change: an occurrence has an object only from its due time until it is complete, a bounded number of a job at a time. The critical path is kept by occurrence. A round considers and places a bounded number of steps and tasks, and does not search again for a need that found no runner.

--- a/core/src/main/java/org/pollensill/dispatch/AdviceRequest.java
+++ b/core/src/main/java/org/pollensill/dispatch/AdviceRequest.java
@@ -56,7 +56,7 @@
      * @return the name
      */
     public StepName name() {
-        return new StepName(step.job.request.id(), step.occurrence, step.number);
+        return new StepName(step.job.request.id(), step.occurrence.index, step.number);
     }
 
     /**
--- a/core/src/main/java/org/pollensill/dispatch/CapacityReservations.java
+++ b/core/src/main/java/org/pollensill/dispatch/CapacityReservations.java
@@ -157,6 +157,11 @@
         }
     }
 
+    /** Returns whether a runner is reserved for a task. */
+    boolean holdsFor(TaskState task) {
+        return reservations.containsKey(task);
+    }
+
     /** Ends the reservation for a task, if there is one. */
     void release(TaskState task) {
         Reservation reservation = reservations.remove(task);
@@ -258,7 +263,7 @@
     private static boolean mustNotBeOvertaken(TaskState task, long nowMs) {
         JobState job = task.step.job;
         boolean waits = task.phase == TaskState.Phase.WAITING && !job.status.isFinal();
-        if (!waits || task.claimedRunner != null || !job.canEndInValue(nowMs, 0)) {
+        if (!waits || task.claimedRunner != null || !task.step.occurrence.canEndInValue(nowMs, 0)) {
             return false;
         }
         long slackMs = job.objectiveMs - job.request.criticalPathMs();
--- a/core/src/main/java/org/pollensill/dispatch/JobOutcomes.java
+++ b/core/src/main/java/org/pollensill/dispatch/JobOutcomes.java
@@ -27,7 +27,8 @@
         }
         lastRoundAtMs = nowMs;
         for (JobState job : jobs) {
-            if (!job.status.isFinal() && !job.hasRemainingValue(nowMs)) {
+            boolean mayExpire = !job.status.isFinal() && !job.request.schedule().isScheduled();
+            if (mayExpire && !job.onlyOccurrence().hasRemainingValue(nowMs)) {
                 report(job, JobOutcome.Result.EXPIRED, nowMs);
             }
         }
@@ -35,10 +36,14 @@
 
     /** Reports a job that has reached a final state. */
     void ended(JobState job, long nowMs) {
+        if (job.request.schedule().isScheduled()) {
+            return;
+        }
         if (job.status == JobStatus.DONE) {
-            boolean inTime = nowMs <= job.deadlineMs();
+            OccurrenceState occurrence = job.onlyOccurrence();
+            boolean inTime = nowMs <= occurrence.deadlineMs();
             JobOutcome.Result inValue = inTime ? JobOutcome.Result.IN_TIME : JobOutcome.Result.LATE;
-            report(job, job.hasRemainingValue(nowMs) ? inValue : JobOutcome.Result.EXPIRED, nowMs);
+            report(job, occurrence.hasRemainingValue(nowMs) ? inValue : JobOutcome.Result.EXPIRED, nowMs);
             return;
         }
         report(job, job.status == JobStatus.CANCELLED ? JobOutcome.Result.CANCELLED : JobOutcome.Result.FAILED, nowMs);
@@ -52,12 +57,9 @@
         listener.outcome(outcome(job, result, nowMs));
     }
 
-    /** Returns whether the time until a job is done counts: neither long-running jobs nor scheduled ones end soon. */
+    /** Returns whether the time until a job without a schedule is done counts: long-running jobs do not end soon. */
     private static boolean hasObjective(JobState job) {
-        if (job.request.schedule().isScheduled()) {
-            return false;
-        }
-        for (StepState step : job.steps) {
+        for (StepState step : job.openSteps()) {
             if (step.spec.hasTrait(Trait.RESTART_ALWAYS)) {
                 return false;
             }
@@ -73,7 +75,7 @@
         int tasks = 0;
         int doneTasks = 0;
         int repeatedRuns = 0;
-        for (StepState step : job.steps) {
+        for (StepState step : job.openSteps()) {
             long needMillicores = step.spec.need().processorsMillicores();
             workMillicoreMs += step.spec.estimateMs() * needMillicores * step.tasks.size();
             largestNeedMillicores = Math.max(largestNeedMillicores, needMillicores);
@@ -105,7 +107,7 @@
                 nowMs - job.addedAtMs,
                 job.objectiveMs,
                 workMillicoreMs,
-                job.steps.size(),
+                job.request.steps().size(),
                 tasks,
                 doneTasks,
                 repeatedRuns,
--- a/core/src/main/java/org/pollensill/dispatch/JobState.java
+++ b/core/src/main/java/org/pollensill/dispatch/JobState.java
@@ -2,8 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.TreeMap;
 
 import org.pollensill.job.JobCodec;
 import org.pollensill.job.JobRecord;
@@ -18,12 +23,29 @@
 /** In-memory state of a job. */
 final class JobState {
 
-    /** Completion within this multiple of the objective still has value. */
-    private static final int MAX_LATENESS_FACTOR = 3;
+    /** Maximum number of steps of the occurrences that are open at a time; one occurrence may be open in any case. */
+    static final int MAX_OPEN_STEPS = 128;
 
     final JobRequest request;
-    /** Steps of all occurrences; those of occurrence k begin at k times the number of steps. */
-    final List<StepState> steps = new ArrayList<>();
+
+    /** The occurrences that are due and incomplete, by index; the only one of a job without a schedule stays. */
+    private final Map<Integer, OccurrenceState> open = new TreeMap<>();
+
+    private final BitSet completeOccurrences = new BitSet(0);
+
+    /** The last runs of the tasks of complete occurrences, empty while there are none. */
+    private short[] lastRuns = {};
+
+    /** All occurrences before it are open or complete. */
+    private int nextOccurrence;
+
+    /** Number of the first task of each step in its occurrence. */
+    private final int[] firstOrdinals;
+
+    private final int tasksPerOccurrence;
+
+    /** Number of tasks that are on runners. */
+    int tasksOnRunners;
 
     /**
      * The terms under which the job runs: those of its queue, or the last ones known where the configuration lacks it.
@@ -53,50 +75,137 @@
     /** Whether it was reported how the job fared. */
     boolean outcomeReported;
 
-    /** Number of tasks of all steps. */
-    private final int taskCount;
-
     JobState(JobRequest request, long nowMs) {
         this.request = request;
         this.service = request.service();
         this.terms = request.terms();
         this.addedAtMs = nowMs;
+        this.firstOrdinals = new int[request.steps().size()];
         int count = 0;
-        for (int k = 0; k < request.schedule().occurrenceCount(); k++) {
-            for (int i = 0; i < request.steps().size(); i++) {
-                StepState step = new StepState(this, k, i, request.steps().get(i), count);
-                steps.add(step);
-                count += step.tasks.size();
-            }
+        for (int i = 0; i < firstOrdinals.length; i++) {
+            firstOrdinals[i] = count;
+            count += request.steps().get(i).count();
+        }
+        this.tasksPerOccurrence = count;
+        if (!request.schedule().isScheduled()) {
+            open(0);
         }
-        this.taskCount = count;
+    }
+
+    private int taskCount() {
+        return tasksPerOccurrence * occurrenceCount();
+    }
+
+    private int occurrenceCount() {
+        return request.schedule().occurrenceCount();
     }
 
     /** Returns the number of rows that the progress takes if it is stored by range of tasks. */
     int rowCount() {
-        return ProgressLayout.rowOf(Math.max(0, taskCount - 1)) + 1;
+        return ProgressLayout.rowOf(Math.max(0, taskCount() - 1)) + 1;
     }
 
-    StepState step(int occurrence, int number) {
-        return steps.get(occurrence * request.steps().size() + number);
+    /** Returns the number of a task in the job. */
+    int ordinal(int occurrence, int step, int index) {
+        return occurrence * tasksPerOccurrence + firstOrdinals[step] + index;
     }
 
     boolean contains(int occurrence, int number, int index) {
         return occurrence >= 0
-                && occurrence < request.schedule().occurrenceCount()
+                && occurrence < occurrenceCount()
                 && number >= 0
-                && number < request.steps().size()
+                && number < firstOrdinals.length
                 && index >= 0
-                && index < step(occurrence, number).tasks.size();
+                && index < request.steps().get(number).count();
     }
 
-    boolean complete() {
-        for (StepState step : steps) {
-            if (!step.complete()) {
-                return false;
+    Collection<OccurrenceState> openOccurrences() {
+        return Collections.unmodifiableCollection(open.values());
+    }
+
+    /** Returns the steps of the open occurrences. */
+    List<StepState> openSteps() {
+        if (open.size() == 1) {
+            return open.values().iterator().next().steps;
+        }
+        List<StepState> steps = new ArrayList<>();
+        open.values().forEach(occurrence -> steps.addAll(occurrence.steps));
+        return steps;
+    }
+
+    boolean isOpen(int occurrence) {
+        return open.containsKey(occurrence);
+    }
+
+    /** Returns the state of an occurrence that is not complete; it is open from then on. */
+    OccurrenceState open(int occurrence) {
+        return open.computeIfAbsent(occurrence, index -> new OccurrenceState(this, index));
+    }
+
+    /** Returns the next occurrence to be opened, empty once all are open or complete. */
+    OptionalInt nextOccurrence() {
+        while (nextOccurrence < occurrenceCount()
+                && (open.containsKey(nextOccurrence) || completeOccurrences.get(nextOccurrence))) {
+            nextOccurrence++;
+        }
+        return nextOccurrence < occurrenceCount() ? OptionalInt.of(nextOccurrence) : OptionalInt.empty();
+    }
+
+    /** Returns whether another occurrence may be opened besides those that are open. */
+    boolean mayOpenAnother() {
+        return open.isEmpty() || (open.size() + 1) * firstOrdinals.length <= MAX_OPEN_STEPS;
+    }
+
+    /** Records a complete occurrence of which no state is kept but the last run of each task. */
+    void restoreComplete(int occurrence, short[] runs) {
+        if (lastRuns.length == 0) {
+            lastRuns = new short[taskCount()];
+        }
+        System.arraycopy(runs, 0, lastRuns, occurrence * tasksPerOccurrence, tasksPerOccurrence);
+        completeOccurrences.set(occurrence);
+    }
+
+    /** Drops the state of an occurrence of a scheduled job once it is complete. */
+    void closeIfComplete(OccurrenceState occurrence) {
+        if (!request.schedule().isScheduled() || !occurrence.complete()) {
+            return;
+        }
+        short[] runs = new short[tasksPerOccurrence];
+        for (StepState step : occurrence.steps) {
+            for (int index = 0; index < step.tasks.size(); index++) {
+                runs[firstOrdinals[step.number] + index] = step.tasks.lastRun(index);
             }
         }
-        return true;
+        restoreComplete(occurrence.index, runs);
+        open.remove(occurrence.index);
+    }
+
+    boolean isComplete(int occurrence) {
+        return completeOccurrences.get(occurrence);
+    }
+
+    int tasksPerOccurrence() {
+        return tasksPerOccurrence;
+    }
+
+    /** Returns a description of a task of a complete occurrence, which changes nothing. */
+    TaskState completedTask(int occurrence, int number, int index) {
+        StepState step = new OccurrenceState(this, occurrence).steps.get(number);
+        TaskState task = new TaskState(step, index, ordinal(occurrence, number, index));
+        task.phase = TaskState.Phase.DONE;
+        task.run = lastRuns[task.ordinal];
+        return task;
+    }
+
+    /** Returns the state of a job without a schedule. */
+    OccurrenceState onlyOccurrence() {
+        return open(0);
+    }
+
+    boolean complete() {
+        return request.schedule().isScheduled()
+                ? open.isEmpty() && nextOccurrence().isEmpty()
+                : onlyOccurrence().complete();
     }
 
     /** Returns the state that clients may see; a final state is shown only once it is durable. */
@@ -130,7 +239,7 @@
 
     /** Returns whether any task has failed as often as the terms allow. */
     boolean exhausted() {
-        for (StepState step : steps) {
+        for (StepState step : openSteps()) {
             for (TaskState task : step.tasks) {
                 if (exhausted(task)) {
                     return true;
@@ -142,65 +251,30 @@
 
     /** Returns whether a task of the job is on a runner, and so may still be at work. */
     boolean hasTasksOnRunners() {
-        for (StepState step : steps) {
-            for (TaskState task : step.tasks) {
-                if (task.hasRunner()) {
-                    return true;
-                }
-            }
-        }
-        return false;
-    }
-
-    long deadlineMs() {
-        return addedAtMs + objectiveMs;
-    }
-
-    /** Returns 0 if the job is expected to meet its objective, 1 if it will be late, 2 if completion has no value. */
-    int lateness(long nowMs) {
-        if (!hasRemainingValue(nowMs)) {
-            return 2;
-        }
-        return nowMs + remainingCriticalPathMs() <= deadlineMs() ? 0 : 1;
-    }
-
-    /** Returns the estimated duration of the critical path through the incomplete steps. */
-    private long remainingCriticalPathMs() {
-        int stepsPerOccurrence = request.steps().size();
-        long longestMs = 0;
-        long[] endMs = new long[steps.size()];
-        for (int i = 0; i < endMs.length; i++) {
-            StepState step = steps.get(i);
-            long beginMs = 0;
-            for (int before : step.spec.predecessors()) {
-                if (before >= 0 && before < step.number) {
-                    beginMs = Math.max(beginMs, endMs[i - i % stepsPerOccurrence + before]);
-                }
-            }
-            endMs[i] = beginMs + (step.complete() ? 0 : step.spec.estimateMs());
-            longestMs = Math.max(longestMs, endMs[i]);
-        }
-        return longestMs;
-    }
-
-    /** Returns whether the job can be done before completion loses its value if its next tasks start after a delay. */
-    boolean canEndInValue(long nowMs, long startDelayMs) {
-        return hasRemainingValue(nowMs + startDelayMs + remainingCriticalPathMs());
-    }
-
-    boolean hasRemainingValue(long nowMs) {
-        return nowMs < addedAtMs + MAX_LATENESS_FACTOR * objectiveMs;
+        return tasksOnRunners > 0;
     }
 
     /** Returns the records of the tasks that have been placed and belong to a row; none once the job has ended. */
     private List<TaskRecord> recordsOfRow(int row) {
         int first = storedInRanges ? row * ProgressLayout.TASKS_PER_ROW : 0;
-        int end = storedInRanges ? Math.min(taskCount, first + ProgressLayout.TASKS_PER_ROW) : taskCount;
+        int end = storedInRanges ? Math.min(taskCount(), first + ProgressLayout.TASKS_PER_ROW) : taskCount();
         List<TaskRecord> records = new ArrayList<>();
         if (status.isFinal()) {
             return records;
         }
-        for (StepState step : steps) {
+        for (int occurrence = first / tasksPerOccurrence; occurrence * tasksPerOccurrence < end; occurrence++) {
+            OccurrenceState state = open.get(occurrence);
+            if (state != null) {
+                addRecords(state, first, end, records);
+            } else if (isComplete(occurrence)) {
+                addRecordsOfComplete(occurrence, first, end, records);
+            }
+        }
+        return records;
+    }
+
+    private static void addRecords(OccurrenceState occurrence, int first, int end, List<TaskRecord> records) {
+        for (StepState step : occurrence.steps) {
             int firstIndex = Math.max(0, first - step.tasks.ordinal(0));
             int endIndex = Math.min(step.tasks.size(), end - step.tasks.ordinal(0));
             for (int index = firstIndex; index < endIndex; index++) {
@@ -209,22 +283,53 @@
                 }
             }
         }
-        return records;
+    }
+
+    private void addRecordsOfComplete(int occurrence, int first, int end, List<TaskRecord> records) {
+        for (int number = 0; number < firstOrdinals.length; number++) {
+            int firstOrdinal = ordinal(occurrence, number, 0);
+            int count = request.steps().get(number).count();
+            for (int ordinal = Math.max(first, firstOrdinal);
+                    ordinal < Math.min(end, firstOrdinal + count);
+                    ordinal++) {
+                if (lastRuns[ordinal] > 0) {
+                    records.add(new TaskRecord(
+                            occurrence,
+                            number,
+                            ordinal - firstOrdinal,
+                            true,
+                            lastRuns[ordinal],
+                            0,
+                            "",
+                            Optional.empty()));
+                }
+            }
+        }
     }
 
     /** Returns the rows to which tasks belong that have been placed. */
     BitSet rowsWithRecords() {
         BitSet rows = new BitSet();
-        for (StepState step : steps) {
+        for (StepState step : openSteps()) {
             for (int index = 0; index < step.tasks.size(); index++) {
                 if (step.tasks.wasPlaced(index)) {
                     rows.set(ProgressLayout.rowOf(step.tasks.ordinal(index)));
                 }
             }
         }
+        for (int ordinal = 0; ordinal < lastRuns.length; ordinal++) {
+            if (lastRuns[ordinal] > 0) {
+                rows.set(ProgressLayout.rowOf(ordinal));
+            }
+        }
         return rows;
     }
 
+    /** Returns the memory that the runs of complete occurrences take. */
+    long arrayBytes() {
+        return (long) lastRuns.length * Short.BYTES;
+    }
+
     /** Returns the stored form of a row of the job's progress. */
     String encodeRow(int row) {
         List<TaskRecord> records = recordsOfRow(row);
--- a/core/src/main/java/org/pollensill/dispatch/JobTable.java
+++ b/core/src/main/java/org/pollensill/dispatch/JobTable.java
@@ -2,8 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
-import java.util.Comparator;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -30,36 +29,17 @@
     /** Objective of a job whose terms are not known yet. */
     private static final long DEFAULT_OBJECTIVE_MS = 10_000;
 
-    private static final Comparator<RankedStep> BY_URGENCY = Comparator.<RankedStep>comparingInt(RankedStep::lateness)
-            .thenComparingInt(ranked -> ranked.step().job.priority())
-            .thenComparing(ranked -> !ranked.step().runsToCompletion())
-            .thenComparingDouble(RankedStep::heldFraction)
-            .thenComparingLong(ranked -> ranked.step().job.deadlineMs());
-
-    /**
-     * A step with its sort keys.
-     *
-     * @param step the step
-     * @param lateness 0 if the job can meet its objective, 1 if it will be late, 2 if completion has no value
-     * @param heldFraction fraction of the tasks that are on runners, for a long-running step; otherwise 0
-     */
-    private record RankedStep(StepState step, int lateness, double heldFraction) {
-
-        private static RankedStep of(StepState step, long nowMs) {
-            if (step.spec.hasTrait(Trait.RESTART_ALWAYS)) {
-                return new RankedStep(step, 0, step.heldFraction());
-            }
-            return new RankedStep(step, step.job.lateness(nowMs), 0);
-        }
-    }
+    /** Maximum number of steps of due occurrences that are opened in a turn of the leader's loop. */
+    private static final int MAX_OPENED_STEPS_PER_TURN = 1_000;
 
     private final Map<String, JobState> jobs = new LinkedHashMap<>();
     private final EndedJobs ended = new EndedJobs();
     /** Jobs whose end is durable and of which tasks are still on runners or changes are not. */
     private final Set<JobState> ending = new LinkedHashSet<>();
 
-    private final Set<StepState> ready = new LinkedHashSet<>();
+    private final ReadySteps ready = new ReadySteps();
     private final Set<StepState> scheduled = new LinkedHashSet<>();
+    private final OccurrenceSchedule schedule = new OccurrenceSchedule();
     private final List<JobState> exhausted = new ArrayList<>();
     private final PendingChanges pendingChanges;
     private final DispatchListener listener;
@@ -81,9 +61,9 @@
         return placementCounts;
     }
 
-    /** Returns the ready steps in the order in which they became ready; some may belong to ended jobs. */
+    /** Returns the ready steps; some may belong to ended jobs. */
     Collection<StepState> ready() {
-        return Collections.unmodifiableSet(ready);
+        return ready.all();
     }
 
     /** Returns the jobs that have ended and left the table. */
@@ -100,7 +80,11 @@
         if (job == null || !job.contains(name.occurrence(), name.step(), name.index())) {
             return Optional.empty();
         }
-        return Optional.of(job.step(name.occurrence(), name.step()).tasks.get(name.index()));
+        if (job.isComplete(name.occurrence())) {
+            return Optional.of(job.completedTask(name.occurrence(), name.step(), name.index()));
+        }
+        return Optional.of(
+                open(job, name.occurrence()).steps.get(name.step()).tasks.get(name.index()));
     }
 
     void setCatalogue(QueueCatalogue newCatalogue) {
@@ -184,9 +168,10 @@
             ending.add(job);
             return;
         }
-        for (StepState step : job.steps) {
+        for (StepState step : job.openSteps()) {
             makeReadyIfUnblocked(step, nowMs);
         }
+        schedule.add(job);
         if (record.isPresent()) {
             inheritWaits(job, nowMs);
         }
@@ -203,11 +188,13 @@
             // A former leader ended before it could delete them, or has recorded the runs that it was stopping.
             pendingChanges.changed(job);
         }
+        restoreComplete(job, record);
         for (TaskRecord stored : record.tasks()) {
-            if (!job.contains(stored.occurrence(), stored.step(), stored.index())) {
+            boolean known = job.contains(stored.occurrence(), stored.step(), stored.index());
+            if (!known || job.isComplete(stored.occurrence())) {
                 continue;
             }
-            StepState step = job.step(stored.occurrence(), stored.step());
+            StepState step = job.open(stored.occurrence()).steps.get(stored.step());
             TaskState task = step.tasks.get(stored.index());
             task.run = stored.run();
             task.failures = stored.failures();
@@ -216,7 +203,6 @@
             task.completed = stored.done() && stored.assignedRunner().isPresent();
             if (stored.done() && !task.completed) {
                 task.phase = TaskState.Phase.DONE;
-                step.done++;
                 step.retire(task);
                 continue;
             }
@@ -236,7 +222,7 @@
                             runner.incarnationStartMs);
                 }
                 task.phase = TaskState.Phase.ORDERED;
-                task.runner = runner;
+                task.setRunner(runner);
                 task.placedIncarnationStartMs = assignedRunner.incarnationStartMs();
                 task.startedAtMs = nowMs;
                 task.progressAtMs = nowMs;
@@ -251,13 +237,40 @@
         }
     }
 
+    /** Restores the occurrences of a scheduled job of which all tasks are done, without opening them. */
+    private static void restoreComplete(JobState job, JobRecord record) {
+        if (!job.request.schedule().isScheduled()) {
+            return;
+        }
+        Map<Integer, short[]> runsByOccurrence = new HashMap<>();
+        Map<Integer, Integer> doneByOccurrence = new HashMap<>();
+        for (TaskRecord stored : record.tasks()) {
+            boolean done = job.contains(stored.occurrence(), stored.step(), stored.index())
+                    && stored.done()
+                    && stored.assignedRunner().isEmpty();
+            if (done) {
+                int position = job.ordinal(0, stored.step(), stored.index());
+                runsByOccurrence
+                                .computeIfAbsent(stored.occurrence(), added -> new short[job.tasksPerOccurrence()])[
+                                position] =
+                        (short) Math.min(Short.MAX_VALUE, stored.run());
+                doneByOccurrence.merge(stored.occurrence(), 1, Integer::sum);
+            }
+        }
+        doneByOccurrence.forEach((occurrence, done) -> {
+            if (done == job.tasksPerOccurrence()) {
+                job.restoreComplete(occurrence, runsByOccurrence.get(occurrence));
+            }
+        });
+    }
+
     /**
      * Lets the long-running tasks that were placed before count as overdue until a report shows that they run: how long
      * they have waited under former leaders is not known, and those may have let others overtake them for as long as is
      * allowed.
      */
     private static void inheritWaits(JobState job, long nowMs) {
-        for (StepState step : job.steps) {
+        for (StepState step : job.openSteps()) {
             if (!step.spec.hasTrait(Trait.RESTART_ALWAYS)) {
                 continue;
             }
@@ -275,8 +288,7 @@
             if (!job.contains(stored.occurrence(), stored.step(), stored.index())) {
                 continue;
             }
-            int row = ProgressLayout.rowOf(
-                    job.step(stored.occurrence(), stored.step()).tasks.ordinal(stored.index()));
+            int row = ProgressLayout.rowOf(job.ordinal(stored.occurrence(), stored.step(), stored.index()));
             if (row > 0 && !record.furtherRows().contains(row)) {
                 return false;
             }
@@ -284,18 +296,11 @@
         return true;
     }
 
-    /** Makes a step ready if its preceding steps are complete; a step of a timed job waits until it is due. */
+    /** Makes a step ready if its preceding steps are complete; a step of a scheduled job waits until it is due. */
     private void makeReadyIfUnblocked(StepState step, long nowMs) {
-        if (step.ready || step.complete()) {
+        if (isBlocked(step)) {
             return;
         }
-        for (int before : step.spec.predecessors()) {
-            if (before >= 0
-                    && before < step.number
-                    && !step.job.step(step.occurrence, before).complete()) {
-                return;
-            }
-        }
         if (step.job.request.schedule().isScheduled()) {
             scheduled.add(step);
             return;
@@ -303,6 +308,21 @@
         makeReady(step, nowMs);
     }
 
+    /** Returns whether a step is ready or complete already, or one before it is not complete. */
+    private static boolean isBlocked(StepState step) {
+        if (step.ready || step.complete()) {
+            return true;
+        }
+        for (int before : step.spec.predecessors()) {
+            if (before >= 0
+                    && before < step.number
+                    && !step.occurrence.steps.get(before).complete()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void makeReady(StepState step, long nowMs) {
         step.ready = true;
         step.readySinceMs = nowMs;
@@ -320,41 +340,54 @@
         task.othersPlacedWhenReady = placementCounts.ofOtherSteps(task.step);
     }
 
-    /** Makes the scheduled steps ready that are due by the wall clock. */
+    private OccurrenceState open(JobState job, int index) {
+        boolean opened = !job.isOpen(index);
+        OccurrenceState occurrence = job.open(index);
+        if (opened) {
+            scheduleUnblockedSteps(occurrence);
+        }
+        return occurrence;
+    }
+
+    private void scheduleUnblockedSteps(OccurrenceState occurrence) {
+        for (StepState step : occurrence.steps) {
+            if (!isBlocked(step)) {
+                scheduled.add(step);
+            }
+        }
+    }
+
+    /** Opens the occurrences that are due by the wall clock, a bounded number in a turn. */
+    private void openDueOccurrences(long wallMs) {
+        int openedSteps = 0;
+        while (openedSteps < MAX_OPENED_STEPS_PER_TURN) {
+            Optional<OccurrenceState> opened = schedule.openNextDue(wallMs);
+            if (opened.isEmpty()) {
+                return;
+            }
+            scheduleUnblockedSteps(opened.get());
+            openedSteps += opened.get().steps.size();
+        }
+    }
+
+    /** Opens the occurrences that are due by the wall clock and makes their steps ready. */
     void makeDueStepsReady(long wallMs, long nowMs) {
+        openDueOccurrences(wallMs);
         for (StepState step : new ArrayList<>(scheduled)) {
             if (step.job.status.isFinal()) {
                 scheduled.remove(step);
                 continue;
             }
-            if (wallMs >= step.job.request.schedule().dueMs(step.occurrence)) {
+            if (wallMs >= step.job.request.schedule().dueMs(step.occurrence.index)) {
                 scheduled.remove(step);
                 makeReady(step, nowMs);
             }
         }
     }
 
-    /**
-     * Returns the ready steps with placeable tasks, most urgent first. Jobs that can still meet their objective come
-     * before late ones.
-     */
+    /** Returns the ready steps with placeable tasks that a round considers, most urgent first. */
     List<StepState> readySteps(long nowMs) {
-        List<RankedStep> ranked = new ArrayList<>();
-        for (StepState step : new ArrayList<>(ready)) {
-            if (step.job.status.isFinal() || step.complete()) {
-                ready.remove(step);
-                continue;
-            }
-            if (step.job.placeable() && step.hasPlaceableTask(nowMs)) {
-                ranked.add(RankedStep.of(step, nowMs));
-            }
-        }
-        ranked.sort(BY_URGENCY);
-        List<StepState> steps = new ArrayList<>();
-        for (RankedStep next : ranked) {
-            steps.add(next.step());
-        }
-        return steps;
+        return ready.next(nowMs);
     }
 
     /**
@@ -383,17 +416,18 @@
         StepState step = task.step;
         task.phase = TaskState.Phase.DONE;
         task.release();
-        step.done++;
         step.retire(task);
         pendingChanges.changed(task);
         if (!step.complete()) {
             return;
         }
         ready.remove(step);
-        int stepsPerOccurrence = step.job.request.steps().size();
-        for (int i = step.number + 1; i < stepsPerOccurrence; i++) {
-            makeReadyIfUnblocked(step.job.step(step.occurrence, i), nowMs);
+        List<StepState> steps = step.occurrence.steps;
+        for (int i = step.number + 1; i < steps.size(); i++) {
+            makeReadyIfUnblocked(steps.get(i), nowMs);
         }
+        step.job.closeIfComplete(step.occurrence);
+        schedule.onComplete(step.job);
         finishIfComplete(step.job, nowMs);
     }
 
@@ -436,8 +470,9 @@
             }
             jobsEnding.remove();
             jobs.remove(job.request.id());
-            job.steps.forEach(ready::remove);
-            job.steps.forEach(scheduled::remove);
+            job.openSteps().forEach(ready::remove);
+            job.openSteps().forEach(scheduled::remove);
+            schedule.remove(job);
             ended.add(job.request.id(), job.recordedStatus, job.finalAtMs);
             retired.add(job.request.id());
         }
--- a/core/src/main/java/org/pollensill/dispatch/LoadForecaster.java
+++ b/core/src/main/java/org/pollensill/dispatch/LoadForecaster.java
@@ -70,7 +70,7 @@
             if (job.status.isFinal() || !hasObjective(job)) {
                 continue;
             }
-            int lateness = job.lateness(nowMs);
+            int lateness = job.onlyOccurrence().lateness(nowMs);
             long remaining = remainingWork(job);
             long arriving = arrivals.millicores(job.service, job.priority(), nowMs);
             work.computeIfAbsent(job.service, service -> new LinkedHashMap<>())
@@ -117,7 +117,7 @@
         if (job.terms.isEmpty() || job.request.schedule().isScheduled()) {
             return false;
         }
-        for (StepState step : job.steps) {
+        for (StepState step : job.openSteps()) {
             if (step.spec.hasTrait(Trait.RESTART_ALWAYS) || step.spec.hasTrait(Trait.FILLS)) {
                 return false;
             }
@@ -127,7 +127,7 @@
 
     private static long remainingWork(JobState job) {
         double work = 0;
-        for (StepState step : job.steps) {
+        for (StepState step : job.openSteps()) {
             int waiting = step.waiting();
             int running = step.tasks.size() - step.done - waiting;
             work += (waiting + REMAINING_OF_RUNNING * running)
--- a/core/src/main/java/org/pollensill/dispatch/ReportHandler.java
+++ b/core/src/main/java/org/pollensill/dispatch/ReportHandler.java
@@ -384,7 +384,7 @@
 
     /** Stops all runs of a job that has reached a final state. */
     void stopAll(JobState job, long nowMs) {
-        for (StepState step : job.steps) {
+        for (StepState step : job.openSteps()) {
             for (TaskState task : step.tasks) {
                 if (task.phase == TaskState.Phase.PLACED) {
                     task.release();
--- a/core/src/main/java/org/pollensill/dispatch/StateSize.java
+++ b/core/src/main/java/org/pollensill/dispatch/StateSize.java
@@ -43,8 +43,8 @@
     }
 
     static long bytes(JobState job) {
-        long bytes = JOB_BYTES + job.request.payload().length();
-        for (StepState step : job.steps) {
+        long bytes = JOB_BYTES + job.request.payload().length() + job.arrayBytes();
+        for (StepState step : job.openSteps()) {
             bytes += STEP_BYTES + step.tasks.objectCount() * TASK_BYTES + step.tasks.arrayBytes();
         }
         return bytes;
--- a/core/src/main/java/org/pollensill/dispatch/StepState.java
+++ b/core/src/main/java/org/pollensill/dispatch/StepState.java
@@ -8,7 +8,7 @@
 final class StepState {
 
     final JobState job;
-    final int occurrence;
+    final OccurrenceState occurrence;
     final int number;
     final StepSpec spec;
     final StepTasks tasks;
@@ -47,8 +47,8 @@
     /** Time of the last explanation why a task waits. */
     long explainedAtMs = Long.MIN_VALUE / 2;
 
-    StepState(JobState job, int occurrence, int number, StepSpec spec, int firstOrdinal) {
-        this.job = job;
+    StepState(OccurrenceState occurrence, int number, StepSpec spec, int firstOrdinal) {
+        this.job = occurrence.job;
         this.occurrence = occurrence;
         this.number = number;
         this.spec = spec;
@@ -56,7 +56,7 @@
     }
 
     TaskName nameOf(int index) {
-        return new TaskName(job.request.id(), occurrence, number, index);
+        return new TaskName(job.request.id(), occurrence.index, number, index);
     }
 
     boolean complete() {
@@ -65,6 +65,10 @@
 
     /** Records that a task is done, and drops what is kept of it alone. */
     void retire(TaskState task) {
+        done++;
+        if (complete()) {
+            occurrence.stepCompleted();
+        }
         repeatedRunsOfDone += Math.max(0, task.run - 1);
         if (task.longestWaitMs > longestWaitOfDoneMs) {
             longestWaitOfDoneMs = task.longestWaitMs;
--- a/core/src/main/java/org/pollensill/dispatch/StepTasks.java
+++ b/core/src/main/java/org/pollensill/dispatch/StepTasks.java
@@ -78,7 +78,7 @@
             retiredRuns = new short[size()];
         }
         retired.set(index);
-        retiredRuns[index] = (short) Math.min(Short.MAX_VALUE, task.run);
+        retiredRuns[index] = storedRun(task);
         objects[index] = null;
         objectCount--;
     }
@@ -88,6 +88,18 @@
         return retired.get(index) ? retiredRuns[index] > 0 : hasObject(index) && objects[index].run > 0;
     }
 
+    /** Returns the last run of a task, 0 if it was never placed. */
+    short lastRun(int index) {
+        if (retired.get(index)) {
+            return retiredRuns[index];
+        }
+        return hasObject(index) ? storedRun(objects[index]) : 0;
+    }
+
+    private static short storedRun(TaskState task) {
+        return (short) Math.min(Short.MAX_VALUE, task.run);
+    }
+
     private boolean hasObject(int index) {
         return objects.length > 0 && objects[index] != null;
     }
--- a/core/src/main/java/org/pollensill/dispatch/TaskScheduler.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskScheduler.java
@@ -1,11 +1,13 @@
 package org.pollensill.dispatch;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.pollensill.job.Trait;
 import org.pollensill.runner.RunnerEntry;
@@ -22,6 +24,9 @@
      */
     static final long SLOT_RESERVATION_MS = 1_000;
 
+    /** Maximum number of tasks that a round places, apart from the other members of a gang. */
+    static final int MAX_PLACEMENTS_PER_ROUND = 1_000;
+
     /** Time for which a task that was overdue is not preempted again, so that waiting goes round. */
     private static final long MIN_RUN_AFTER_OVERDUE_MS = 6_000;
 
@@ -32,6 +37,10 @@
     private final Preemptor preemptor;
     private final CapacityReservations reservations;
     private final DispatchListener listener;
+    /** The needs for which no runner was found in this round. */
+    private final Set<PlacementNeed> unplaceable = new HashSet<>();
+
+    private int placementsInRound;
     private long shortTaskUnplacedAtMs = Long.MIN_VALUE / 2;
 
     TaskScheduler(
@@ -52,12 +61,17 @@
     }
 
     void place(long nowMs) {
+        unplaceable.clear();
+        placementsInRound = 0;
         List<StepState> steps = jobs.readySteps(nowMs);
         preemptor.beginRound(steps, nowMs);
         reservations.placeOverdue(steps, nowMs, new OverduePlacement(nowMs));
         List<TaskState> blocked = new ArrayList<>();
         List<TaskState> overtaken = new ArrayList<>();
         for (StepState step : steps) {
+            if (placementsInRound >= MAX_PLACEMENTS_PER_ROUND) {
+                break;
+            }
             if (step.spec.hasTrait(Trait.GANG)) {
                 placeGang(step, nowMs);
                 continue;
@@ -88,7 +102,7 @@
         Iterator<TaskState> waiting = unclaimed.hasNext() ? unclaimed : claimed.iterator();
         Optional<TaskState> unplaced = Optional.empty();
         boolean placed = false;
-        while (waiting.hasNext()) {
+        while (waiting.hasNext() && placementsInRound < MAX_PLACEMENTS_PER_ROUND) {
             TaskState task = waiting.next();
             Optional<RunnerState> runner = choose(task, rack, nowMs);
             if (runner.isEmpty()) {
@@ -108,7 +122,7 @@
         if (placed) {
             step.slotFreeSinceMs = 0;
         }
-        if (unplaced.isEmpty() || !step.runsToCompletion() || !step.job.hasRemainingValue(nowMs)) {
+        if (unplaced.isEmpty() || !step.runsToCompletion() || !step.occurrence.hasRemainingValue(nowMs)) {
             return unplaced;
         }
         shortTaskUnplacedAtMs = nowMs;
@@ -136,7 +150,7 @@
 
     /** Returns whether long-running tasks may be stopped for a step, which must be of use to its job. */
     private boolean mayPreempt(StepState step, long nowMs) {
-        return !reservations.isExhausted() && step.job.canEndInValue(nowMs, Preemptor.STOP_DURATION_MS);
+        return !reservations.isExhausted() && step.occurrence.canEndInValue(nowMs, Preemptor.STOP_DURATION_MS);
     }
 
     /** Returns whether the only free slot stays reserved for short tasks, some of which recently found no capacity. */
@@ -171,10 +185,23 @@
 
     /** Returns a runner for a task, on any rack if none fits on the required one. */
     private Optional<RunnerState> choose(TaskState task, Optional<String> rack, long nowMs) {
+        boolean sharesNeed = PlacementNeed.decidesFor(task.step) && !isHeldForTask(task);
+        if (sharesNeed && unplaceable.contains(PlacementNeed.of(task.step))) {
+            return Optional.empty();
+        }
         Optional<RunnerState> runner = runnerSelector.choose(task, fleet.all(), rack, nowMs);
-        return runner.isEmpty() && rack.isPresent()
-                ? runnerSelector.choose(task, fleet.all(), Optional.empty(), nowMs)
-                : runner;
+        if (runner.isEmpty() && rack.isPresent()) {
+            runner = runnerSelector.choose(task, fleet.all(), Optional.empty(), nowMs);
+        }
+        if (runner.isEmpty() && sharesNeed) {
+            unplaceable.add(PlacementNeed.of(task.step));
+        }
+        return runner;
+    }
+
+    /** Returns whether capacity of a runner is withheld from others for a task. */
+    private boolean isHeldForTask(TaskState task) {
+        return task.claimedRunner != null || reservations.holdsFor(task);
     }
 
     /** Places overdue tasks by the same rules as others. */
@@ -198,12 +225,17 @@
     }
 
     private void assign(TaskState task, RunnerState runner, long nowMs) {
+        if (isHeldForTask(task)) {
+            // What was withheld for the task may now fit another one.
+            unplaceable.clear();
+        }
         reservations.release(task);
         preemptor.claims().release(task);
         if (CapacityReservations.isOverdue(task, nowMs)) {
             task.preemptibleFromMs = nowMs + MIN_RUN_AFTER_OVERDUE_MS;
         }
         task.placeOn(runner, nowMs);
+        placementsInRound++;
         jobs.placementCounts().placed(task.step, runner);
         pendingChanges.placed(task);
         listener.placed(task.name, task.run, runner.id, nowMs - task.readySinceMs);
@@ -249,7 +281,7 @@
         Optional<String> rack = requiredRack(step);
         boolean placed =
                 placeAll(step, rack, run, nowMs) || rack.isPresent() && placeAll(step, Optional.empty(), run, nowMs);
-        if (!placed && step.runsToCompletion() && step.job.hasRemainingValue(nowMs)) {
+        if (!placed && step.runsToCompletion() && step.occurrence.hasRemainingValue(nowMs)) {
             shortTaskUnplacedAtMs = nowMs;
             if (mayPreempt(step, nowMs)) {
                 preemptor.preemptForGang(step, rack, nowMs);
@@ -296,9 +328,13 @@
             task.placeOn(runner.get(), nowMs);
             placed.add(task);
         }
+        if (!fulfilled.isEmpty()) {
+            unplaceable.clear();
+        }
         String checkpoint = gangCheckpoint(step);
         for (TaskState member : placed) {
             member.checkpoint = checkpoint;
+            placementsInRound++;
             jobs.placementCounts().placed(step, member.runner);
             pendingChanges.placed(member);
             listener.placed(member.name, member.run, member.runner.id, nowMs - member.readySinceMs);
--- a/core/src/main/java/org/pollensill/dispatch/TaskState.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskState.java
@@ -199,6 +199,12 @@
         return runner != null;
     }
 
+    /** Sets the runner, null for none. */
+    void setRunner(RunnerState newRunner) {
+        step.job.tasksOnRunners += (newRunner == null ? 0 : 1) - (runner == null ? 0 : 1);
+        runner = newRunner;
+    }
+
     void placeOn(RunnerState chosen, long nowMs) {
         longestWaitMs = Math.max(longestWaitMs, nowMs - readySinceMs);
         run++;
@@ -222,7 +228,7 @@
         idleSlackAtMs = Long.MIN_VALUE / 2;
         progressAtMs = nowMs;
         progressClockMs = 0;
-        runner = chosen;
+        setRunner(chosen);
         placedIncarnationStartMs = chosen.incarnationStartMs;
         chosen.add(this);
         if (chosen.isOnProbation()) {
@@ -233,7 +239,7 @@
     /** Takes back a run that its runner reports to be at work although it was released. */
     void resumeOn(RunnerState found, String address, long nowMs) {
         phase = Phase.ORDERED;
-        runner = found;
+        setRunner(found);
         placedIncarnationStartMs = found.incarnationStartMs;
         runAddress = address;
         paceUnknown = step.spec.hasTrait(Trait.FILLS);
@@ -247,7 +253,7 @@
     void release() {
         if (runner != null) {
             runner.remove(this);
-            runner = null;
+            setRunner(null);
         }
         stopping = false;
         if (phase != Phase.DONE) {
@@ -267,7 +273,7 @@
                         runner.id, phase == Phase.RUNNING ? runner.incarnationStartMs : placedIncarnationStartMs));
         boolean done = phase == Phase.DONE || completed;
         return new TaskRecord(
-                step.occurrence,
+                step.occurrence.index,
                 step.number,
                 name.index(),
                 done,
--- a/core/src/test/java/org/pollensill/dispatch/AdviceCandidatesTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/AdviceCandidatesTest.java
@@ -70,14 +70,14 @@
         PlacementRule rule = new PlacementRule(Optional.empty(), Optional.empty(), maxPerRunner);
         StepSpec spec = new StepSpec(count, NEED, 1_000, List.of(), set, rule, ServiceLevel.NONE);
         jobs.add(Samples.job(JOB, spec), Optional.empty(), fleet, T0);
-        step = jobs.get(JOB).orElseThrow().steps.get(0);
+        step = jobs.get(JOB).orElseThrow().openSteps().get(0);
     }
 
     private static TaskState otherTask(Resources need) {
         StepSpec spec = new StepSpec(
                 1, need, 1_000, List.of(), EnumSet.noneOf(Trait.class), PlacementRule.ANY, ServiceLevel.NONE);
         return new JobState(Samples.job("bbbbbbbbbbbbbbbb", spec), T0)
-                .steps
+                .openSteps()
                 .get(0)
                 .tasks
                 .get(0);
--- a/core/src/test/java/org/pollensill/dispatch/CapacityReservationsTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/CapacityReservationsTest.java
@@ -159,7 +159,8 @@
             occupy("r1", 4);
             occupy("r2", 4);
             add(LONG_RUNNING_JOB, longRunning(3, Samples.NEED), T0);
-            for (TaskState task : jobs.get(LONG_RUNNING_JOB).orElseThrow().steps.get(0).tasks) {
+            for (TaskState task :
+                    jobs.get(LONG_RUNNING_JOB).orElseThrow().openSteps().get(0).tasks) {
                 task.preempted = true;
             }
             place(OVERDUE_AT_MS);
--- a/core/src/test/java/org/pollensill/dispatch/InterferenceControllerTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/InterferenceControllerTest.java
@@ -57,7 +57,7 @@
                 PlacementRule.ANY,
                 new ServiceLevel(Optional.of(image), targetTailMs, 0));
         JobState state = new JobState(Samples.job(job, step), T0);
-        TaskState task = state.step(0, 0).tasks.get(0);
+        TaskState task = state.openSteps().get(0).tasks.get(0);
         task.placeOn(runner, T0);
         task.phase = TaskState.Phase.RUNNING;
         return task;
--- a/core/src/test/java/org/pollensill/dispatch/JobOutcomesTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/JobOutcomesTest.java
@@ -36,14 +36,14 @@
         @Test
         void shouldTellAJobInTimeFromALateOne() {
             JobState job = add(1);
-            jobs.finish(job, JobStatus.DONE, job.deadlineMs());
+            jobs.finish(job, JobStatus.DONE, job.onlyOccurrence().deadlineMs());
             assertEquals(JobOutcome.Result.IN_TIME, listener.outcomes.get(0).result());
         }
 
         @Test
         void shouldReportALateJob() {
             JobState job = add(1);
-            jobs.finish(job, JobStatus.DONE, job.deadlineMs() + 1);
+            jobs.finish(job, JobStatus.DONE, job.onlyOccurrence().deadlineMs() + 1);
             assertEquals(JobOutcome.Result.LATE, listener.outcomes.get(0).result());
         }
 
@@ -77,7 +77,7 @@
         @Test
         void shouldNameTheSlowestTaskAndTheWork() {
             JobState job = add(3);
-            job.steps.get(0).tasks.get(1).placeOn(fleet.get("r1").orElseThrow(), T0 + 700);
+            job.openSteps().get(0).tasks.get(1).placeOn(fleet.get("r1").orElseThrow(), T0 + 700);
             jobs.finish(job, JobStatus.CANCELLED, T0 + 600);
             JobOutcome outcome = listener.outcomes.get(0);
             assertEquals(3 * 2_000 * 1_000, outcome.workMillicoreMs());
--- a/core/src/test/java/org/pollensill/dispatch/PlacementObstacleTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/PlacementObstacleTest.java
@@ -38,7 +38,11 @@
     }
 
     private static TaskState task(StepSpec spec) {
-        return new JobState(Samples.job(JOB, spec), NOW_MS).steps.get(0).tasks.get(0);
+        return new JobState(Samples.job(JOB, spec), NOW_MS)
+                .openSteps()
+                .get(0)
+                .tasks
+                .get(0);
     }
 
     private static StepSpec needing(Resources need, PlacementRule placement, Trait... traits) {
@@ -190,7 +194,7 @@
             StepSpec step =
                     new StepSpec(1, need, 0, List.of(), EnumSet.of(Trait.RESTART_ALWAYS), PlacementRule.ANY, level);
             TaskState task = new JobState(Samples.job("cccccccccccccccc", step), NOW_MS)
-                    .steps
+                    .openSteps()
                     .get(0)
                     .tasks
                     .get(0);
--- a/core/src/test/java/org/pollensill/dispatch/RunnerProbationTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/RunnerProbationTest.java
@@ -39,7 +39,7 @@
 
     private static TaskState task(String job, Trait... traits) {
         return new JobState(Samples.job(job, Samples.step(1, traits)), T0)
-                .steps
+                .openSteps()
                 .get(0)
                 .tasks
                 .get(0);
--- a/core/src/test/java/org/pollensill/dispatch/StepAvailabilityTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/StepAvailabilityTest.java
@@ -28,13 +28,13 @@
 
     private StepState atWork(JobRequest request) {
         JobState job = new JobState(request, T0);
-        for (TaskState task : job.steps.get(0).tasks) {
+        for (TaskState task : job.openSteps().get(0).tasks) {
             task.placeOn(runner, T0);
             task.phase = TaskState.Phase.RUNNING;
             task.percent = 100;
             task.workProvenAtMs = T0;
         }
-        return job.steps.get(0);
+        return job.openSteps().get(0);
     }
 
     @Nested
