Count the time of an occurrence from when it is due

Callers would have seen occurrences of a schedule come after all other work, without preemption, once three objectives had passed since the job was added; a takeover made them fresh again.

Cause: the deadline and the remaining value were computed from the time at which the job was added, for scheduled jobs as well.

Change: an occurrence begins at its due time by the wall clock. One that has been overdue for long ranks after work that can still end in time.

ScheduledUrgencyTest failed before (the later job was placed instead of the occurrence that was due); the tests of the dispatcher pass.

--- a/core/src/main/java/org/pollensill/dispatch/JobTable.java
+++ b/core/src/main/java/org/pollensill/dispatch/JobTable.java
@@ -378,7 +378,9 @@
                 scheduled.remove(step);
                 continue;
             }
-            if (wallMs >= step.job.request.schedule().dueMs(step.occurrence.index)) {
+            long overdueMs = wallMs - step.job.request.schedule().dueMs(step.occurrence.index);
+            if (overdueMs >= 0) {
+                step.occurrence.setDueMs(nowMs - overdueMs);
                 scheduled.remove(step);
                 makeReady(step, nowMs);
             }
--- a/core/src/main/java/org/pollensill/dispatch/OccurrenceState.java
+++ b/core/src/main/java/org/pollensill/dispatch/OccurrenceState.java
@@ -16,6 +16,9 @@
 
     final JobState job;
     final int index;
+    /** Time from which the objective counts: that at which the occurrence was due, or the job was added. */
+    private long beginMs;
+
     final List<StepState> steps = new ArrayList<>();
     private int completeSteps;
     /** Cached estimate of the critical path through the incomplete steps. */
@@ -24,11 +27,17 @@
     OccurrenceState(JobState job, int index) {
         this.job = job;
         this.index = index;
+        this.beginMs = job.addedAtMs;
         for (int number = 0; number < job.request.steps().size(); number++) {
             steps.add(new StepState(this, number, job.request.steps().get(number), job.ordinal(index, number, 0)));
         }
     }
 
+    /** Sets the time at which the occurrence was due. */
+    void setDueMs(long dueMs) {
+        beginMs = dueMs;
+    }
+
     boolean complete() {
         return completeSteps == steps.size();
     }
@@ -39,7 +48,7 @@
     }
 
     long deadlineMs() {
-        return job.addedAtMs + job.objectiveMs;
+        return beginMs + job.objectiveMs;
     }
 
     /** Returns 0 if the objective is expected to be met, 1 if completion will be late, 2 if it has no value. */
@@ -81,6 +90,6 @@
     }
 
     boolean hasRemainingValue(long nowMs) {
-        return nowMs < job.addedAtMs + MAX_LATENESS_FACTOR * job.objectiveMs;
+        return nowMs < beginMs + MAX_LATENESS_FACTOR * job.objectiveMs;
     }
 }
