--- a/coordinator/src/main/java/org/pollensill/coordinator/Committer.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Committer.java
@@ -8,6 +8,7 @@
 import java.util.function.Supplier;
 
 import org.pollensill.admission.LoadForecast;
+import org.pollensill.admission.MemoryCredit;
 import org.pollensill.dispatch.Dispatcher;
 import org.pollensill.leader.CommitChain;
 import org.pollensill.leader.LeaseBounds;
@@ -108,6 +109,11 @@
         chain.setForecast(forecast);
     }
 
+    /** Sets the memory for further jobs that the following commits store. */
+    void setCredit(MemoryCredit credit) {
+        chain.setCredit(credit);
+    }
+
     void stop() {
         stopped = true;
     }
--- a/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
@@ -11,6 +11,7 @@
 import org.pollensill.adapter.HttpAdviceService;
 import org.pollensill.adapter.HttpRowStore;
 import org.pollensill.adapter.HttpRunnerService;
+import org.pollensill.admission.MemoryAccount;
 import org.pollensill.coordinator.peer.PeerServer;
 import org.pollensill.coordinator.peer.PeerService;
 import org.pollensill.coordinator.peer.wire.ConfigQuery;
@@ -99,11 +100,13 @@
             peers.setMembers(live);
             elector.setMembers(live);
         });
-        IntakeWriter intakeWriter =
-                new IntakeWriter(loop::nowMs, loop::schedule, store, health, incarnation, settings.maxRowBytes());
+        MemoryAccount account = new MemoryAccount();
+        IntakeWriter intakeWriter = new IntakeWriter(
+                loop::nowMs, loop::schedule, store, health, incarnation, settings.maxRowBytes(), account::stored);
         JobStateReader stateReader = new JobStateReader(store, health);
         JobCanceller canceller = new JobCanceller(loop::nowMs, loop::schedule, store, health, stateReader);
-        this.endpoint = new JobEndpoint(context, configWatcher, elector, peers, intakeWriter, stateReader, canceller);
+        this.endpoint =
+                new JobEndpoint(context, configWatcher, elector, peers, account, intakeWriter, stateReader, canceller);
     }
 
     /** Ends the process at once: its shutdown hooks would need the event loop that has failed. */
@@ -128,6 +131,13 @@
             return elector.session().flatMap(session -> session.status(jobId));
         }
 
+        @Override
+        public boolean grantMemory(String jobId, long bytes) {
+            return elector.session()
+                    .map(session -> session.grantMemory(jobId, bytes))
+                    .orElse(false);
+        }
+
         @Override
         public boolean storeReachable() {
             return storeTransport.reachable();
--- a/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorEvent.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/CoordinatorEvent.java
@@ -60,6 +60,8 @@
     JOB_SET_ASIDE(7028, Level.WARN, "job set aside"),
     /** The progress of a job that was set aside is recorded; the job goes on. */
     JOB_RESUMED(7029, Level.INFO, "job resumed"),
+    /** The memory of the leader has no room for an accepted job that has not begun; it is taken up as others end. */
+    JOB_DEFERRED(7058, Level.WARN, "job deferred"),
     /** The store rejects the content of a commit; it is split until the part that causes this is alone. */
     COMMIT_REJECTED(7043, Level.WARN, "commit rejected"),
     /** A task was placed on a runner. */
--- a/coordinator/src/main/java/org/pollensill/coordinator/DecisionLog.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/DecisionLog.java
@@ -194,6 +194,11 @@
         LOG.log(CoordinatorEvent.JOB_SET_ASIDE, "job", job, "rows", rows);
     }
 
+    @Override
+    public void jobDeferred(String job, int deferred) {
+        LOG.log(CoordinatorEvent.JOB_DEFERRED, "job", job, "deferred", deferred);
+    }
+
     @Override
     public void jobResumed(String job) {
         metrics.jobResumed();
--- a/coordinator/src/main/java/org/pollensill/coordinator/IntakeFeed.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/IntakeFeed.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 
 import org.pollensill.platform.Row;
 import org.pollensill.platform.RowStore;
@@ -24,6 +25,7 @@
     private final RowStore store;
     private final StoreHealth health;
     private final Consumer<List<Row>> listener;
+    private final LongConsumer onVersion;
     private final Runnable onLoaded;
     private final List<String> partitions = Tables.intakePartitions();
     private final TableReader reader;
@@ -33,14 +35,21 @@
      * Creates a feed.
      *
      * @param listener receives jobs and cancellations; the cancellation of a job comes after it
+     * @param onVersion receives the version of the store up to which all changes were passed on
      * @param onLoaded runs after each read of the whole table
      */
     IntakeFeed(
-            CoordinatorLoop loop, RowStore store, StoreHealth health, Consumer<List<Row>> listener, Runnable onLoaded) {
+            CoordinatorLoop loop,
+            RowStore store,
+            StoreHealth health,
+            Consumer<List<Row>> listener,
+            LongConsumer onVersion,
+            Runnable onLoaded) {
         this.loop = loop;
         this.store = store;
         this.health = health;
         this.listener = listener;
+        this.onVersion = onVersion;
         this.onLoaded = onLoaded;
         this.reader = new TableReader(loop::schedule, store, health, () -> stopped);
     }
@@ -71,6 +80,7 @@
         reader.readPages(partition, listener).thenAccept(version -> {
             minVersion.accumulateAndGet(version, Math::min);
             if (unread.decrementAndGet() == 0) {
+                onVersion.accept(minVersion.get());
                 onLoaded.run();
                 pollChanges(minVersion.get());
                 return;
@@ -105,6 +115,7 @@
                     if (!rows.isEmpty()) {
                         listener.accept(rows);
                     }
+                    onVersion.accept(changes.version());
                     pollChanges(changes.version());
                 });
     }
--- a/coordinator/src/main/java/org/pollensill/coordinator/IntakeWriter.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/IntakeWriter.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
@@ -40,6 +41,12 @@
         UNKNOWN
     }
 
+    /** Receives the version of the row of a job that was written. */
+    @FunctionalInterface
+    interface StoredListener {
+        void accept(String jobId, long version);
+    }
+
     private static final EventLog LOG = EventLog.of(IntakeWriter.class);
 
     /** Maximum number of jobs in one transaction, half of the store's limit. */
@@ -91,6 +98,7 @@
     private final StoreHealth health;
     private final String commitPrefix;
     private final long maxRowBytes;
+    private final StoredListener onStored;
     private final Map<String, PartitionQueue> queues = new HashMap<>();
     private long commitCount;
 
@@ -103,6 +111,7 @@
      * @param health tracks the outcome of the calls
      * @param commitPrefix prefix of the commit ids
      * @param maxRowBytes the maximum size of a row in the store
+     * @param onStored receives each job that was written
      */
     IntakeWriter(
             LongSupplier clockMs,
@@ -110,13 +119,15 @@
             TableService store,
             StoreHealth health,
             String commitPrefix,
-            long maxRowBytes) {
+            long maxRowBytes,
+            StoredListener onStored) {
         this.clockMs = clockMs;
         this.timer = timer;
         this.store = store;
         this.health = health;
         this.commitPrefix = commitPrefix;
         this.maxRowBytes = maxRowBytes;
+        this.onStored = onStored;
     }
 
     /**
@@ -211,6 +222,7 @@
             List<PendingJob> retries = new ArrayList<>();
             for (Map.Entry<String, PendingJob> entry : batch.entrySet()) {
                 if (conflict.versions().containsKey(entry.getKey())) {
+                    onStored.accept(entry.getValue().id, conflict.versions().get(entry.getKey()));
                     entry.getValue().result.complete(Outcome.STORED);
                 } else if (!entry.getValue().result.isDone()) {
                     retries.add(entry.getValue());
@@ -219,7 +231,12 @@
             requeue(queue, retries);
             return;
         }
-        batch.values().forEach(pending -> pending.result.complete(Outcome.STORED));
+        Map<String, Long> versions =
+                outcome instanceof CommitOutcome.Committed committed ? committed.versions() : Map.of();
+        batch.forEach((key, pending) -> {
+            Optional.ofNullable(versions.get(key)).ifPresent(version -> onStored.accept(pending.id, version));
+            pending.result.complete(Outcome.STORED);
+        });
     }
 
     /** Splits a transaction that the store rejects for its content until the job that causes this is alone. */
--- a/coordinator/src/main/java/org/pollensill/coordinator/JobEndpoint.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/JobEndpoint.java
@@ -4,11 +4,15 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.regex.Pattern;
 
 import org.pollensill.adapter.ClientCodec;
 import org.pollensill.admission.AdmissionDecision;
 import org.pollensill.admission.JobAdmission;
+import org.pollensill.admission.JobMemory;
+import org.pollensill.admission.MemoryAccount;
+import org.pollensill.admission.MemoryAdmission;
 import org.pollensill.admission.OutageDelay;
 import org.pollensill.job.JobRequest;
 import org.pollensill.job.JobStatus;
@@ -50,6 +54,8 @@
     private final JobCanceller canceller;
     private final CoordinatorMetrics metrics;
     private final Optional<JobAdmission> admission;
+    private final MemoryAccount account;
+    private final MemoryAdmission memoryAdmission = new MemoryAdmission(new SplittableRandom());
     private final OutageDelay outageDelay = new OutageDelay(new SplittableRandom());
 
     JobEndpoint(
@@ -57,6 +63,7 @@
             ConfigWatcher config,
             LeaderElector elector,
             Peers peers,
+            MemoryAccount account,
             IntakeWriter intakeWriter,
             JobStateReader stateReader,
             JobCanceller canceller) {
@@ -65,6 +72,7 @@
         this.config = config;
         this.elector = elector;
         this.peers = peers;
+        this.account = account;
         this.intakeWriter = intakeWriter;
         this.stateReader = stateReader;
         this.canceller = canceller;
@@ -157,21 +165,54 @@
             answer("submit", responder, retryLater(503, retryAfterS));
             return;
         }
+        if (!MemoryAdmission.canEverFit(job)) {
+            logRefusal(id, queue, "exceeds the memory of a leader", "bytes", JobMemory.maxBytes(job));
+            answer("submit", responder, Answer.of(400));
+            return;
+        }
         Optional<AdmissionDecision> rejection = admission
                 .map(decides -> decides.decide(job, elector.forecast()))
                 .filter(decision -> !decision.accepted());
-        if (rejection.isEmpty()) {
-            store(job, queue, responder, deadlineMs);
+        if (rejection.isPresent()) {
+            rejectUnlessStored(job, queue, rejection.get(), responder, deadlineMs);
             return;
         }
+        hasMemory(job).thenAccept(granted -> {
+            if (granted) {
+                store(job, queue, responder, deadlineMs);
+            } else {
+                rejectUnlessStored(job, queue, memoryAdmission.rejection(), responder, deadlineMs);
+            }
+        });
+    }
+
+    /** Returns whether there is memory for a job: in the credit of this coordinator, or else granted by the leader. */
+    private CompletableFuture<Boolean> hasMemory(JobRequest job) {
+        if (MemoryAdmission.isFull(elector.forecast())) {
+            return CompletableFuture.completedFuture(false);
+        }
+        elector.credit().ifPresent(credit -> account.update(credit, loop.nowMs()));
+        long bytes = JobMemory.maxBytes(job);
+        if (account.charge(job.id(), bytes)) {
+            return CompletableFuture.completedFuture(true);
+        }
+        return elector.session()
+                .map(session -> CompletableFuture.completedFuture(session.grantMemory(job.id(), bytes)))
+                .orElseGet(() -> peers.grantMemory(job.id(), bytes));
+    }
+
+    private void rejectUnlessStored(
+            JobRequest job, QueuePolicy queue, AdmissionDecision rejection, Responder responder, long deadlineMs) {
+        String id = job.id();
         // A job of which an earlier attempt is stored runs, so it cannot be said not to.
         stateReader.read(id).whenComplete((state, failure) -> {
             if (failure != null) {
-                store(job, queue, responder, deadlineMs);
+                LOG.log(CoordinatorEvent.JOB_UNCERTAIN, "job", id, "queue", queue.name(), "reason", rejection.reason());
+                answer("submit", responder, Answer.of(504));
             } else if (state.isPresent()) {
                 answer("submit", responder, Answer.of(200));
             } else {
-                reject(id, queue, rejection.get(), responder);
+                reject(id, queue, rejection, responder);
             }
         });
     }
@@ -205,15 +246,18 @@
                     answer("submit", responder, Answer.of(200));
                     return;
                 case NOT_STORED:
+                    account.release(id);
                     int retryAfterS = outageDelay.retryAfterS(health.outageMs(), deadlineMs - loop.nowMs());
                     logRefusal(id, queue, "store refused", "tookMs", tookMs, "retryAfterS", retryAfterS);
                     answer("submit", responder, retryLater(503, retryAfterS));
                     return;
                 case REJECTED:
+                    account.release(id);
                     logRefusal(id, queue, "too large");
                     answer("submit", responder, Answer.of(413));
                     return;
                 default:
+                    account.unknown(id, loop.nowMs());
                     LOG.log(CoordinatorEvent.JOB_UNCERTAIN, "job", id, "queue", queue.name(), "tookMs", tookMs);
                     answer("submit", responder, Answer.of(504));
             }
--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderElector.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderElector.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 
 import org.pollensill.admission.LoadForecast;
+import org.pollensill.admission.MemoryCredit;
 import org.pollensill.dispatch.InheritedLeases;
 import org.pollensill.json.JsonSyntaxException;
 import org.pollensill.leader.CommitChain;
@@ -65,6 +66,8 @@
 
     private boolean stopping;
     /** The latest format of stored jobs that all members read. */
+    private int memberCount = 1;
+
     private int commonFormat = Member.PROGRESS_IN_ONE_ROW;
 
     private String lastIncarnation = "";
@@ -112,11 +115,21 @@
         return recent ? leader().flatMap(LeaderRow::forecast) : Optional.empty();
     }
 
+    /** Returns the memory for further jobs that a leader has given last, empty where none is known. */
+    Optional<MemoryCredit> credit() {
+        Optional<MemoryCredit> own = session.flatMap(LeaderSession::credit);
+        return own.isPresent() ? own : watch.row().flatMap(LeaderRow::credit);
+    }
+
     /** Sets the live members; a format of stored jobs is used only once all of them can read it. */
     void setMembers(Map<String, Member> members) {
         commonFormat =
                 members.values().stream().mapToInt(Member::progressFormat).min().orElse(Member.PROGRESS_IN_ONE_ROW);
-        session.ifPresent(running -> running.allowFormat(commonFormat));
+        memberCount = members.size();
+        session.ifPresent(running -> {
+            running.allowFormat(commonFormat);
+            running.setCoordinators(memberCount);
+        });
     }
 
     void setCatalogue(QueueCatalogue catalogue) {
@@ -237,7 +250,8 @@
                 watch.row().map(LeaderRow::waitingJobs).orElse(Map.of()),
                 Optional.of(inherited.remaining(loop.nowMs())),
                 false,
-                Optional.empty());
+                Optional.empty(),
+                watch.row().flatMap(LeaderRow::credit));
         CommitChain chain = CommitChain.campaign(Tables.LEADER_KEY, candidate, watch.rowVersion());
         chain.setLoading(true);
         chain.begin(candidate.waitingJobs(), inherited.remaining(loop.nowMs()), false, List.of());
@@ -317,6 +331,7 @@
             newSession.release(() -> session = Optional.empty());
             return;
         }
+        newSession.setCoordinators(memberCount);
         newSession.start(configSource.current(), commonFormat);
     }
 
--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
@@ -2,11 +2,14 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
 import org.pollensill.admission.LoadForecast;
+import org.pollensill.admission.MemoryCredit;
+import org.pollensill.admission.MemoryGrants;
 import org.pollensill.dispatch.AdviceRequest;
 import org.pollensill.dispatch.Batch;
 import org.pollensill.dispatch.Dispatcher;
@@ -52,6 +55,12 @@
      */
     private static final int MAX_WRITES_PER_COMMIT = 98;
 
+    /** Time after a takeover in which the jobs are stored to which the former leader has granted memory. */
+    private static final long FORMER_GRANTS_MS = 3_000;
+
+    /** Maximum number of jobs that are read again at a time; a row has at most 64 KiB. */
+    private static final int MAX_DEFERRED_READ = 10;
+
     /** Interval between two runs of the job expiry. */
     private static final long EXPIRY_INTERVAL_MS = 2_000;
 
@@ -71,6 +80,12 @@
     private final ZoneEvacuations evacuations;
     private String storedEstimates = "";
     private long estimatesCheckedAtMs;
+    private final MemoryGrants grants = new MemoryGrants();
+    private int coordinators = 1;
+    /** Version of the store up to which the accepted jobs are known. */
+    private long intakeVersion;
+
+    private boolean readingDeferred;
     private boolean jobsLoaded;
     private boolean runnersLoaded;
     private boolean stopped;
@@ -111,7 +126,8 @@
                 dispatcher.retention().endedJobs(),
                 new KnownCancellations(),
                 settings.keepEndedMs());
-        this.intakeFeed = new IntakeFeed(loop, store, health, this::onIntake, this::onIntakeLoaded);
+        this.intakeFeed =
+                new IntakeFeed(loop, store, health, this::onIntake, this::onIntakeVersion, this::onIntakeLoaded);
         this.runnerFeed = new RunnerFeed(loop, reader, this::onRunners);
     }
 
@@ -139,6 +155,26 @@
         expiry.allowReduction(format >= Member.ENDED_JOBS_REDUCED);
     }
 
+    /** Sets the number of coordinators that accept jobs. */
+    void setCoordinators(int count) {
+        coordinators = count;
+    }
+
+    /** Returns the memory for further jobs that each coordinator has, empty while the state is being loaded. */
+    Optional<MemoryCredit> credit() {
+        if (!loaded()) {
+            return Optional.empty();
+        }
+        long shareBytes = grants.shareBytes(dispatcher.freeBytes(), coordinators, loop.nowMs());
+        return Optional.of(new MemoryCredit(shareBytes, intakeVersion));
+    }
+
+    /** Grants memory to a job that exceeds the share of its coordinator; returns whether there is enough. */
+    boolean grantMemory(String id, long bytes) {
+        boolean formerGrantsStored = loop.nowMs() - takeoverMs >= FORMER_GRANTS_MS;
+        return loaded() && formerGrantsStored && grants.grant(id, bytes, dispatcher.freeBytes(), loop.nowMs());
+    }
+
     /** Stops all activity without releasing the lease in the store. */
     void stop() {
         stopped = true;
@@ -251,6 +287,37 @@
         });
     }
 
+    private void onIntakeVersion(long version) {
+        loop.execute(() -> intakeVersion = version);
+    }
+
+    /** Reads the jobs again for which there was no room and that fit now. */
+    private void readDeferred() {
+        if (readingDeferred || !loaded() || releasing) {
+            return;
+        }
+        List<String> ids = dispatcher.deferredToAdd(MAX_DEFERRED_READ);
+        if (ids.isEmpty()) {
+            return;
+        }
+        readingDeferred = true;
+        List<String> keys = ids.stream().map(Tables::jobKey).toList();
+        health.track(store.read(keys, List.of())).whenComplete((rows, failure) -> {
+            readingDeferred = false;
+            if (failure != null || stopped) {
+                // The next tick tries again.
+                return;
+            }
+            Set<String> stored = new HashSet<>();
+            for (Row row : rows) {
+                stored.add(Tables.jobId(row.key()));
+                addJob(row, loop.nowMs());
+            }
+            ids.stream().filter(id -> !stored.contains(id)).forEach(dispatcher::forgetDeferred);
+            commitPending();
+        });
+    }
+
     private void onIntakeLoaded() {
         loop.execute(() -> {
             if (!jobsLoaded) {
@@ -265,6 +332,7 @@
 
     private void addJob(Row row, long nowMs) {
         String id = Tables.jobId(row.key());
+        grants.arrived(id);
         if (dispatcher.contains(id)) {
             return;
         }
@@ -329,6 +397,7 @@
             runnerFeed.readEarly();
         }
         requestAdvice();
+        readDeferred();
         commitPending();
     }
 
@@ -384,6 +453,7 @@
         }
         List<Write> writes = new ArrayList<>();
         batch.ifPresent(changes -> writes.addAll(changes.writes()));
+        credit().ifPresent(committer::setCredit);
         if (settings.admissionLatenessFactor().isPresent()) {
             committer.setForecast(dispatcher.forecast());
         }
--- a/coordinator/src/main/java/org/pollensill/coordinator/Peers.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Peers.java
@@ -20,6 +20,7 @@
 import org.pollensill.coordinator.peer.wire.ConfigReply;
 import org.pollensill.coordinator.peer.wire.Frame;
 import org.pollensill.coordinator.peer.wire.JobQuery;
+import org.pollensill.coordinator.peer.wire.MemoryQuery;
 import org.pollensill.coordinator.peer.wire.StoreCall;
 import org.pollensill.coordinator.peer.wire.StoreReply;
 import org.pollensill.job.JobStatus;
@@ -205,6 +206,26 @@
         });
     }
 
+    /**
+     * Asks the leader for memory for a job.
+     *
+     * @param jobId the job id
+     * @param bytes the most memory that the job takes
+     * @return whether it was granted, false if the leader does not reply
+     */
+    CompletableFuture<Boolean> grantMemory(String jobId, long bytes) {
+        if (leaderLink.isEmpty() || !leaderLink.get().up()) {
+            return CompletableFuture.completedFuture(false);
+        }
+        Frame.Builder query = Frame.newBuilder()
+                .setMemoryQuery(MemoryQuery.newBuilder().setJobId(jobId).setBytes(bytes));
+        return leaderLink
+                .get()
+                .call(query, JOB_QUERY_TIMEOUT_MS)
+                .handle((reply, failure) ->
+                        failure == null && reply.getMemoryReply().getGranted());
+    }
+
     private static Optional<JobStatus> parseStatus(String name) {
         for (JobStatus status : JobStatus.values()) {
             if (status.name().equals(name)) {
--- a/coordinator/src/main/java/org/pollensill/coordinator/peer/PeerServer.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/peer/PeerServer.java
@@ -17,6 +17,7 @@
 import org.pollensill.coordinator.peer.wire.Frame;
 import org.pollensill.coordinator.peer.wire.HelloReply;
 import org.pollensill.coordinator.peer.wire.JobReply;
+import org.pollensill.coordinator.peer.wire.MemoryReply;
 import org.pollensill.coordinator.peer.wire.Pong;
 import org.pollensill.coordinator.peer.wire.Released;
 import org.pollensill.runtime.http.ListenException;
@@ -123,6 +124,14 @@
                             reply.setJobReply(JobReply.newBuilder().setStatus(status))
                                     .build());
                     return;
+                case MEMORY_QUERY:
+                    boolean granted = service.grantMemory(
+                            frame.getMemoryQuery().getJobId(),
+                            frame.getMemoryQuery().getBytes());
+                    context.writeAndFlush(
+                            reply.setMemoryReply(MemoryReply.newBuilder().setGranted(granted))
+                                    .build());
+                    return;
                 case STORE_CALL:
                     service.callStore(frame.getStoreCall())
                             .thenAccept(answer -> context.writeAndFlush(
--- a/coordinator/src/main/java/org/pollensill/coordinator/peer/PeerService.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/peer/PeerService.java
@@ -20,6 +20,15 @@
      */
     Optional<JobStatus> jobStatus(String jobId);
 
+    /**
+     * Grants memory of the leader to a job that a peer is about to accept.
+     *
+     * @param jobId the job id
+     * @param bytes the most memory that the job takes
+     * @return whether it was granted, false if this coordinator is not the leader
+     */
+    boolean grantMemory(String jobId, long bytes);
+
     /**
      * Returns whether this coordinator reaches the store directly.
      *
--- a/coordinator/src/test/java/org/pollensill/coordinator/IntakeWriterTest.java
+++ b/coordinator/src/test/java/org/pollensill/coordinator/IntakeWriterTest.java
@@ -1,6 +1,7 @@
 package org.pollensill.coordinator;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -38,6 +39,7 @@
     private final List<Timer> timers = new ArrayList<>();
     private long nowMs;
     private final StoreHealth health = new StoreHealth(() -> nowMs);
+    private final Map<String, Long> storedVersions = new HashMap<>();
     private final IntakeWriter writer = new IntakeWriter(
             () -> nowMs,
             (delayMs, action) -> timers.add(new Timer(nowMs + delayMs, action)),
@@ -56,7 +58,8 @@
             },
             health,
             "test",
-            MAX_ROW_BYTES);
+            MAX_ROW_BYTES,
+            storedVersions::put);
 
     private static JobRequest job(String id) {
         StepSpec step = new StepSpec(
--- a/core/src/main/java/org/pollensill/admission/JobAdmission.java
+++ b/core/src/main/java/org/pollensill/admission/JobAdmission.java
@@ -24,7 +24,7 @@
     private static final int MAX_RETRY_AFTER_S = 30;
 
     /** Time in which a leader whose memory is full ends jobs, before callers come back. */
-    private static final long MEMORY_RETRY_MS = 2_000;
+    static final long MEMORY_RETRY_MS = 2_000;
 
     private static final long MS_PER_S = 1_000;
 
@@ -105,6 +105,11 @@
     }
 
     private int retryAfterS(long delayMs) {
+        return retryAfterS(delayMs, random);
+    }
+
+    /** Returns the time after which a caller comes back, spread over as long again. */
+    static int retryAfterS(long delayMs, RandomGenerator random) {
         double spreadMs = delayMs * (1 + random.nextDouble());
         return (int) Math.max(1, Math.min(MAX_RETRY_AFTER_S, Math.ceil(spreadMs / MS_PER_S)));
     }
--- a/core/src/main/java/org/pollensill/admission/MemoryAccount.java
+++ b/core/src/main/java/org/pollensill/admission/MemoryAccount.java
@@ -84,7 +84,7 @@
     }
 
     /**
-     * Records that a job that was charged is not stored, or was stored by an earlier attempt.
+     * Records that a job that was charged is not stored.
      *
      * @param id the job
      */
--- a/core/src/main/java/org/pollensill/admission/MemoryCredit.java
+++ b/core/src/main/java/org/pollensill/admission/MemoryCredit.java
@@ -16,6 +16,9 @@
  */
 public record MemoryCredit(long shareBytes, long asOfVersion) {
 
+    /** That of a leader of a former version, which gives none and subtracts nothing: it bounds single jobs only. */
+    public static final MemoryCredit OF_FORMER_VERSION = new MemoryCredit(1L << 20, Long.MAX_VALUE - 1);
+
     /**
      * Creates a credit.
      *
--- a/core/src/main/java/org/pollensill/admission/MemoryGrants.java
+++ b/core/src/main/java/org/pollensill/admission/MemoryGrants.java
@@ -29,13 +29,23 @@
      * @return whether it was granted, now or before
      */
     public boolean grant(String id, long bytes, long freeBytes, long nowMs) {
-        boolean granted = grantedBytes(nowMs) + bytes <= (1 - SHARED_FRACTION) * freeBytes || grants.containsKey(id);
+        boolean granted = grantedBytes(nowMs) + bytes <= maxGrantBytes(freeBytes) || grants.containsKey(id);
         if (granted) {
             grants.put(id, new Grant(bytes, nowMs + GRANT_MS));
         }
         return granted;
     }
 
+    /**
+     * Returns the largest grant.
+     *
+     * @param freeBytes what the known jobs leave free
+     * @return the amount in bytes
+     */
+    static long maxGrantBytes(long freeBytes) {
+        return (long) ((1 - SHARED_FRACTION) * freeBytes);
+    }
+
     /**
      * Ends the grant of a job that the leader knows.
      *
--- a/core/src/main/java/org/pollensill/dispatch/DispatchListener.java
+++ b/core/src/main/java/org/pollensill/dispatch/DispatchListener.java
@@ -140,6 +140,14 @@
      */
     void jobResumed(String job);
 
+    /**
+     * Called when the memory of the leader has no room for a job that has not begun; it is taken up as others end.
+     *
+     * @param job the job
+     * @param deferred the number of such jobs
+     */
+    void jobDeferred(String job, int deferred);
+
     /**
      * Called when a runner is quarantined.
      *
--- a/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.pollensill.admission.JobMemory;
 import org.pollensill.admission.LoadForecast;
 import org.pollensill.evacuation.ZoneEvacuations;
 import org.pollensill.job.JobRecord;
@@ -31,6 +32,7 @@
     private final EvacuationMonitor evacuationMonitor;
     private final LeaseBoundsRecorder leaseBounds;
     private final PendingChanges pendingChanges;
+    private final StateLimit limit;
     private final JobTable jobs;
     private final ReportHandler reportHandler;
     private final StartSender starts;
@@ -59,9 +61,11 @@
         this.evacuationMonitor = new EvacuationMonitor(fleet, evacuations, listener);
         this.leaseBounds = new LeaseBoundsRecorder(fleet, inheritedLeases);
         this.pendingChanges = new PendingChanges(recordKeyPrefix, listener);
-        this.jobs = new JobTable(pendingChanges, listener);
+        this.limit = new StateLimit(JobMemory.limitBytes());
+        this.jobs = new JobTable(pendingChanges, limit, listener);
         this.retention = new JobRetention(jobs, earlyCancellations);
-        this.forecaster = new LoadForecaster(jobs, fleet, new StateSize(maxStateBytes()));
+        StateSize stateSize = new StateSize(JobMemory.limitBytes());
+        this.forecaster = new LoadForecaster(jobs, fleet, stateSize);
         RunnerHealth health = new RunnerHealth(listener);
         this.reportHandler = new ReportHandler(jobs, pendingChanges, health, listener, orders, availability);
         this.starts = new StartSender(fencingToken, orders, leaseBounds, fleet, jobs, health, reportHandler);
@@ -73,6 +77,7 @@
                 runnerSelector,
                 new Preemptor(fleet, runnerSelector, reportHandler, availability, listener),
                 new CapacityReservations(fleet, runnerSelector, listener),
+                stateSize,
                 listener);
         this.waitExplainer = new WaitExplainer(jobs, fleet, runnerSelector, taskScheduler, listener);
         this.withoutRunMonitor = new WithoutRunMonitor(jobs, fleet, runnerSelector, listener);
@@ -186,11 +191,12 @@
      * @param nowMs the time
      */
     public void addJob(JobRequest request, Optional<JobRecord> record, long nowMs) {
-        jobs.add(request, record, fleet, nowMs);
+        boolean cancelled = earlyCancellations.take(request.id());
+        jobs.add(request, record, cancelled, fleet, nowMs);
         if (active) {
             jobs.get(request.id()).ifPresent(job -> forecaster.accepted(job, nowMs));
         }
-        if (earlyCancellations.take(request.id())) {
+        if (cancelled) {
             cancel(request.id(), nowMs);
         }
     }
@@ -244,6 +250,7 @@
                 return;
             }
             earlyCancellations.add(id, nowMs);
+            limit.deferred().cancel(id);
             return;
         }
         if (job.get().status.isFinal()) {
@@ -259,6 +266,7 @@
      */
     public void startOrders() {
         active = true;
+        limit.loaded();
         leaseBounds.activate();
     }
 
@@ -528,7 +536,12 @@
      */
     public Optional<JobStatus> status(String id) {
         Optional<JobStatus> ended = jobs.ended().status(id);
-        return ended.isPresent() ? ended : jobs.get(id).map(JobState::visibleStatus);
+        if (ended.isPresent()) {
+            return ended;
+        }
+        return limit.deferred().awaitsRoom(id)
+                ? Optional.of(JobStatus.QUEUED)
+                : jobs.get(id).map(JobState::visibleStatus);
     }
 
     /**
@@ -568,9 +581,32 @@
         return forecaster.current();
     }
 
-    /** Returns the part of the heap that jobs may take; the rest is for what is read, written and sent. */
-    private static long maxStateBytes() {
-        return Runtime.getRuntime().maxMemory() / 2;
+    /**
+     * Returns the memory that the accepted jobs leave free for others.
+     *
+     * @return the amount in bytes
+     */
+    public long freeBytes() {
+        return limit.freeBytes();
+    }
+
+    /**
+     * Returns accepted jobs for which there was no room and that fit now, to be added again.
+     *
+     * @param maxJobs the maximum number of jobs
+     * @return their identities, most urgent first
+     */
+    public List<String> deferredToAdd(int maxJobs) {
+        return limit.deferred().next(limit.freeBytesBesideDeferred(), maxJobs);
+    }
+
+    /**
+     * Forgets a job for which there was no room and that is not stored any more.
+     *
+     * @param id the job
+     */
+    public void forgetDeferred(String id) {
+        limit.deferred().remove(id);
     }
 
     /**
--- a/core/src/main/java/org/pollensill/dispatch/JobState.java
+++ b/core/src/main/java/org/pollensill/dispatch/JobState.java
@@ -10,6 +10,7 @@
 import java.util.OptionalInt;
 import java.util.TreeMap;
 
+import org.pollensill.admission.JobMemory;
 import org.pollensill.job.JobCodec;
 import org.pollensill.job.JobRecord;
 import org.pollensill.job.JobRequest;
@@ -23,9 +24,6 @@
 /** In-memory state of a job. */
 final class JobState {
 
-    /** Maximum number of steps of the occurrences that are open at a time; one occurrence may be open in any case. */
-    static final int MAX_OPEN_STEPS = 128;
-
     final JobRequest request;
 
     /** The occurrences that are due and incomplete, by index; the only one of a job without a schedule stays. */
@@ -153,7 +151,7 @@
 
     /** Returns whether another occurrence may be opened besides those that are open. */
     boolean mayOpenAnother() {
-        return open.isEmpty() || (open.size() + 1) * firstOrdinals.length <= MAX_OPEN_STEPS;
+        return open.isEmpty() || (open.size() + 1) * firstOrdinals.length <= JobMemory.MAX_OPEN_STEPS;
     }
 
     /** Records a complete occurrence of which no state is kept but the last run of each task. */
--- a/core/src/main/java/org/pollensill/dispatch/JobTable.java
+++ b/core/src/main/java/org/pollensill/dispatch/JobTable.java
@@ -42,13 +42,15 @@
     private final OccurrenceSchedule schedule = new OccurrenceSchedule();
     private final List<JobState> exhausted = new ArrayList<>();
     private final PendingChanges pendingChanges;
+    private final StateLimit limit;
     private final DispatchListener listener;
     private final PlacementCounts placementCounts = new PlacementCounts();
     private final JobOutcomes outcomes;
     private QueueCatalogue catalogue = new QueueCatalogue(0, List.of());
 
-    JobTable(PendingChanges pendingChanges, DispatchListener listener) {
+    JobTable(PendingChanges pendingChanges, StateLimit limit, DispatchListener listener) {
         this.pendingChanges = pendingChanges;
+        this.limit = limit;
         this.listener = listener;
         this.outcomes = new JobOutcomes(listener);
     }
@@ -149,9 +151,9 @@
         return true;
     }
 
-    /** Adds a job; has no effect if the job exists. */
-    void add(JobRequest request, Optional<JobRecord> record, Fleet fleet, long nowMs) {
-        if (contains(request.id())) {
+    /** Adds a job; has no effect if the job exists. One that has not begun and need not be kept is deferred where there is no room. */
+    void add(JobRequest request, Optional<JobRecord> record, boolean keep, Fleet fleet, long nowMs) {
+        if (contains(request.id()) || !makeRoom(request, keep || record.isPresent())) {
             return;
         }
         if (!EndedJobs.isJobId(request.id())) {
@@ -159,6 +161,7 @@
         }
         JobState job = new JobState(request, nowMs);
         jobs.put(request.id(), job);
+        limit.kept(job, record.isPresent());
         applyPolicy(job);
         if (record.isPresent()) {
             restore(job, record.get(), fleet, nowMs);
@@ -178,6 +181,39 @@
         finishIfComplete(job, nowMs);
     }
 
+    /** Makes room for a job by deferring less urgent ones; returns false if the job itself is deferred. */
+    private boolean makeRoom(JobRequest request, boolean begun) {
+        while (!limit.hasRoomFor(request)) {
+            Optional<JobState> lessUrgent = limit.leastUrgent(request, begun);
+            if (lessUrgent.isEmpty()) {
+                break;
+            }
+            drop(lessUrgent.get());
+            defer(lessUrgent.get().request);
+        }
+        if (begun || limit.hasRoomFor(request)) {
+            return true;
+        }
+        defer(request);
+        return false;
+    }
+
+    private void defer(JobRequest request) {
+        if (!limit.deferred().contains(request.id())) {
+            limit.defer(request);
+            listener.jobDeferred(request.id(), limit.deferred().size());
+        }
+    }
+
+    /** Removes a job from the table. */
+    private void drop(JobState job) {
+        jobs.remove(job.request.id());
+        job.openSteps().forEach(ready::remove);
+        job.openSteps().forEach(scheduled::remove);
+        schedule.remove(job);
+        limit.removed(job);
+    }
+
     private void restore(JobState job, JobRecord record, Fleet fleet, long nowMs) {
         job.status = record.status();
         job.recordedStatus = record.status();
@@ -471,10 +507,7 @@
                 continue;
             }
             jobsEnding.remove();
-            jobs.remove(job.request.id());
-            job.openSteps().forEach(ready::remove);
-            job.openSteps().forEach(scheduled::remove);
-            schedule.remove(job);
+            drop(job);
             ended.add(job.request.id(), job.recordedStatus, job.finalAtMs);
             retired.add(job.request.id());
         }
@@ -488,6 +521,7 @@
                 waiting.merge(job.request.queue(), 1, Integer::sum);
             }
         }
+        limit.deferred().addTo(waiting);
         return waiting;
     }
 }
--- a/core/src/main/java/org/pollensill/dispatch/StepTasks.java
+++ b/core/src/main/java/org/pollensill/dispatch/StepTasks.java
@@ -4,7 +4,7 @@
 import java.util.Iterator;
 import java.util.NoSuchElementException;
 
-import org.pollensill.job.Trait;
+import org.pollensill.admission.JobMemory;
 
 /**
  * The tasks of a step. A task has an object from its first placement until it is done; before and after that the step
@@ -31,7 +31,7 @@
     StepTasks(StepState step, int firstOrdinal) {
         this.step = step;
         this.firstOrdinal = firstOrdinal;
-        this.individual = step.spec.hasTrait(Trait.GANG) || step.spec.hasTrait(Trait.RESTART_ALWAYS);
+        this.individual = JobMemory.isIndividual(step.spec);
         for (int i = 0; individual && i < size(); i++) {
             get(i);
         }
@@ -131,14 +131,17 @@
         return index;
     }
 
-    /** Returns the tasks that wait and may be placed, without a claim on capacity; their objects are created one by one. */
-    Iterator<TaskState> unclaimed(long nowMs) {
+    /**
+     * Returns the tasks that wait and may be placed, without a claim on capacity. Those that have no object get one as
+     * they are returned, or are left out.
+     */
+    Iterator<TaskState> unclaimed(long nowMs, boolean mayCreate) {
         return new Iterator<>() {
             private int index;
 
             private boolean isUnclaimed(int candidate) {
                 if (!hasObject(candidate)) {
-                    return !retired.get(candidate);
+                    return mayCreate && !retired.get(candidate);
                 }
                 TaskState task = objects[candidate];
                 return task.isPlaceable(nowMs) && task.claimedRunner == null;
--- a/core/src/main/java/org/pollensill/dispatch/TaskScheduler.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskScheduler.java
@@ -36,6 +36,7 @@
     private final RunnerSelector runnerSelector;
     private final Preemptor preemptor;
     private final CapacityReservations reservations;
+    private final StateSize stateSize;
     private final DispatchListener listener;
     /** The needs for which no runner was found in this round. */
     private final Set<PlacementNeed> unplaceable = new HashSet<>();
@@ -50,6 +51,7 @@
             RunnerSelector runnerSelector,
             Preemptor preemptor,
             CapacityReservations reservations,
+            StateSize stateSize,
             DispatchListener listener) {
         this.jobs = jobs;
         this.fleet = fleet;
@@ -57,6 +59,7 @@
         this.runnerSelector = runnerSelector;
         this.preemptor = preemptor;
         this.reservations = reservations;
+        this.stateSize = stateSize;
         this.listener = listener;
     }
 
@@ -98,7 +101,7 @@
         Optional<String> rack = requiredRack(step);
         List<TaskState> claimed = placeOnClaimedRunners(step, nowMs);
         // Tasks with a claim come last: a free slot elsewhere spares another task a preemption.
-        Iterator<TaskState> unclaimed = step.tasks.unclaimed(nowMs);
+        Iterator<TaskState> unclaimed = step.tasks.unclaimed(nowMs, stateSize.hasRoomForTasks());
         Iterator<TaskState> waiting = unclaimed.hasNext() ? unclaimed : claimed.iterator();
         Optional<TaskState> unplaced = Optional.empty();
         boolean placed = false;
@@ -235,6 +238,9 @@
             task.preemptibleFromMs = nowMs + MIN_RUN_AFTER_OVERDUE_MS;
         }
         task.placeOn(runner, nowMs);
+        if (task.run == 1) {
+            stateSize.taskAdded();
+        }
         placementsInRound++;
         jobs.placementCounts().placed(task.step, runner);
         pendingChanges.placed(task);
--- a/core/src/main/java/org/pollensill/job/StoredProgress.java
+++ b/core/src/main/java/org/pollensill/job/StoredProgress.java
@@ -28,6 +28,7 @@
         private final List<String> keys = new ArrayList<>();
         private final Set<Integer> furtherRows = new HashSet<>();
         private final Map<TaskName, TaskRecord> tasks = new LinkedHashMap<>();
+        private final DoneTasks done = new DoneTasks();
         private JobStatus status = JobStatus.RUNNING;
         private int readableRows;
     }
@@ -92,13 +93,19 @@
 
     private static void addTasks(String id, JobRows job, List<TaskRecord> tasks) {
         for (TaskRecord task : tasks) {
-            job.tasks.merge(
-                    new TaskName(id, task.occurrence(), task.step(), task.index()),
-                    task,
-                    (first, second) -> BY_PROGRESS.compare(first, second) >= 0 ? first : second);
+            if (!job.done.add(task)) {
+                merge(id, job.tasks, task);
+            }
         }
     }
 
+    private static void merge(String id, Map<TaskName, TaskRecord> tasks, TaskRecord task) {
+        tasks.merge(
+                new TaskName(id, task.occurrence(), task.step(), task.index()),
+                task,
+                (first, second) -> BY_PROGRESS.compare(first, second) >= 0 ? first : second);
+    }
+
     /**
      * Removes and returns the progress of a job.
      *
@@ -116,6 +123,7 @@
             ended.remove(id);
             return endedStatus.map(status -> new JobRecord(status, List.of()));
         }
+        job.done.forEach(task -> merge(id, job.tasks, task));
         return Optional.of(new JobRecord(job.status, List.copyOf(job.tasks.values()), job.furtherRows));
     }
 
--- a/core/src/main/java/org/pollensill/leader/CommitChain.java
+++ b/core/src/main/java/org/pollensill/leader/CommitChain.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 
 import org.pollensill.admission.LoadForecast;
+import org.pollensill.admission.MemoryCredit;
 import org.pollensill.json.JsonSyntaxException;
 import org.pollensill.platform.Commit;
 import org.pollensill.platform.CommitOutcome;
@@ -42,6 +43,7 @@
     private LeaderRow row;
     private long rowVersion;
     private Optional<LoadForecast> forecast = Optional.empty();
+    private Optional<MemoryCredit> credit;
     private boolean loading;
     private Commit inFlight;
     private LeaderRow pendingRow;
@@ -54,6 +56,7 @@
         this.row = row;
         this.rowVersion = rowVersion;
         this.lastSequence = row.sequence();
+        this.credit = row.credit();
     }
 
     /**
@@ -96,6 +99,15 @@
         forecast = Objects.requireNonNull(latest, "latest is null");
     }
 
+    /**
+     * Sets what the following commits store as the memory for further jobs.
+     *
+     * @param latest the credit
+     */
+    public void setCredit(MemoryCredit latest) {
+        credit = Optional.of(latest);
+    }
+
     /**
      * Starts a commit.
      *
@@ -121,7 +133,8 @@
                 waitingJobs,
                 Optional.of(leases),
                 loading,
-                forecast);
+                forecast,
+                credit);
         List<Write> allWrites = new ArrayList<>(writes);
         allWrites.add(Write.put(rowKey, pendingRow.encode()));
         inFlight = new Commit(
--- a/core/src/main/java/org/pollensill/leader/LeaderRow.java
+++ b/core/src/main/java/org/pollensill/leader/LeaderRow.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 
 import org.pollensill.admission.LoadForecast;
+import org.pollensill.admission.MemoryCredit;
 import org.pollensill.json.JsonObject;
 import org.pollensill.json.JsonSyntaxException;
 import org.pollensill.json.JsonText;
@@ -23,6 +24,7 @@
  * @param leases bounds of the leases that runners may hold, empty where a former version has written the row
  * @param loading whether the leader has not loaded its state yet, so that its numbers of waiting jobs mean nothing
  * @param forecast what the leader foresees for jobs that come now, empty where it does not know yet
+ * @param credit the memory for further jobs, that of the former leader while this one loads; empty where none has led
  */
 public record LeaderRow(
         String leader,
@@ -34,7 +36,8 @@
         Map<String, Integer> waitingJobs,
         Optional<LeaseBounds> leases,
         boolean loading,
-        Optional<LoadForecast> forecast) {
+        Optional<LoadForecast> forecast,
+        Optional<MemoryCredit> credit) {
 
     /**
      * Creates a row.
@@ -48,6 +51,7 @@
         waitingJobs = Map.copyOf(Objects.requireNonNull(waitingJobs, "waitingJobs is null"));
         Objects.requireNonNull(leases, "leases is null");
         Objects.requireNonNull(forecast, "forecast is null");
+        Objects.requireNonNull(credit, "credit is null");
     }
 
     /**
@@ -81,6 +85,11 @@
                 forecast.get().write(json);
                 json.writeEndObject();
             }
+            if (credit.isPresent()) {
+                json.writeObjectFieldStart("credit");
+                credit.get().write(json);
+                json.writeEndObject();
+            }
         });
     }
 
@@ -98,6 +107,10 @@
         for (String queue : storedWaiting.members().keySet()) {
             waitingByQueue.put(queue, storedWaiting.integer(queue).orElse(0L).intValue());
         }
+        Optional<MemoryCredit> credit = row.object("credit").flatMap(MemoryCredit::read);
+        if (credit.isEmpty() && !row.isTrue("loading")) {
+            credit = Optional.of(MemoryCredit.OF_FORMER_VERSION);
+        }
         return new LeaderRow(
                 row.text("leader").orElseThrow(() -> new JsonSyntaxException("missing text: leader")),
                 row.text("incarnation").orElse(""),
@@ -108,6 +121,7 @@
                 waitingByQueue,
                 row.object("leases").map(LeaseBounds::read),
                 row.isTrue("loading"),
-                row.object("forecast").map(LoadForecast::read));
+                row.object("forecast").map(LoadForecast::read),
+                credit);
     }
 }
--- a/core/src/test/java/org/pollensill/dispatch/AdviceCandidatesTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/AdviceCandidatesTest.java
@@ -39,8 +39,10 @@
 
     private static final Resources CAPACITY = new Resources(8_000, 32_000 * Samples.MB, 8);
 
-    private final JobTable jobs =
-            new JobTable(new PendingChanges("progress/", new CountingListener()), new CountingListener());
+    private final JobTable jobs = new JobTable(
+            new PendingChanges("progress/", new CountingListener()),
+            new StateLimit(Long.MAX_VALUE),
+            new CountingListener());
     private final Fleet fleet = new Fleet(InheritedLeases.unrecorded(T0));
     private final AdvicePoller poller = new AdvicePoller(jobs, fleet);
     private final List<RunnerEntry> entries = new ArrayList<>();
@@ -69,7 +71,7 @@
         set.addAll(List.of(traits));
         PlacementRule rule = new PlacementRule(Optional.empty(), Optional.empty(), maxPerRunner);
         StepSpec spec = new StepSpec(count, NEED, 1_000, List.of(), set, rule, ServiceLevel.NONE);
-        jobs.add(Samples.job(JOB, spec), Optional.empty(), fleet, T0);
+        jobs.add(Samples.job(JOB, spec), Optional.empty(), false, fleet, T0);
         step = jobs.get(JOB).orElseThrow().openSteps().get(0);
     }
 
--- a/core/src/test/java/org/pollensill/dispatch/CapacityReservationsTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/CapacityReservationsTest.java
@@ -47,7 +47,7 @@
         final CountingListener listener = new CountingListener();
         final CapacityReservations reservations = new CapacityReservations(fleet, selector, listener);
         final PendingChanges pendingChanges = new PendingChanges("progress/", new CountingListener());
-        final JobTable jobs = new JobTable(pendingChanges, new CountingListener());
+        final JobTable jobs = new JobTable(pendingChanges, new StateLimit(Long.MAX_VALUE), new CountingListener());
         private int shortJobs;
 
         Rounds() {
@@ -68,7 +68,7 @@
         }
 
         TaskState add(String id, StepSpec step, long addedAtMs) {
-            jobs.add(Samples.job(id, step), Optional.empty(), fleet, addedAtMs);
+            jobs.add(Samples.job(id, step), Optional.empty(), false, fleet, addedAtMs);
             return task(id, 0);
         }
 
--- a/core/src/test/java/org/pollensill/dispatch/CountingListener.java
+++ b/core/src/test/java/org/pollensill/dispatch/CountingListener.java
@@ -25,6 +25,7 @@
     final List<WithoutRun> withoutRun = new ArrayList<>();
     Map<WithoutRunCause, Integer> withoutRunByCause = Map.of();
     List<ZoneStatus> evacuating = List.of();
+    final List<String> deferred = new ArrayList<>();
     final List<String> setAside = new ArrayList<>();
 
     @Override
@@ -96,6 +97,11 @@
         setAside.remove(job);
     }
 
+    @Override
+    public void jobDeferred(String job, int count) {
+        deferred.add(job);
+    }
+
     @Override
     public void quarantined(String runner, int failures, long forMs) {}
 
--- a/core/src/test/java/org/pollensill/dispatch/InterferenceControllerTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/InterferenceControllerTest.java
@@ -26,8 +26,10 @@
 
     private final RecordedOrders orders = new RecordedOrders();
     private final InterferenceModel interferenceModel = new InterferenceModel();
-    private final JobTable jobs =
-            new JobTable(new PendingChanges("progress/", new CountingListener()), new CountingListener());
+    private final JobTable jobs = new JobTable(
+            new PendingChanges("progress/", new CountingListener()),
+            new StateLimit(Long.MAX_VALUE),
+            new CountingListener());
     private final ReportHandler reportHandler = new ReportHandler(
             jobs,
             new PendingChanges("progress/", new CountingListener()),
--- a/core/src/test/java/org/pollensill/dispatch/JobOutcomesTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/JobOutcomesTest.java
@@ -18,7 +18,8 @@
 
     private final CountingListener listener = new CountingListener();
     private final Fleet fleet = new Fleet(InheritedLeases.unrecorded(0));
-    private final JobTable jobs = new JobTable(new PendingChanges("progress/", listener), listener);
+    private final JobTable jobs =
+            new JobTable(new PendingChanges("progress/", listener), new StateLimit(Long.MAX_VALUE), listener);
 
     JobOutcomesTest() {
         jobs.setCatalogue(Samples.catalogue(2));
@@ -26,7 +27,7 @@
     }
 
     private JobState add(int tasks) {
-        jobs.add(Samples.job(JOB, Samples.step(tasks)), Optional.empty(), fleet, T0);
+        jobs.add(Samples.job(JOB, Samples.step(tasks)), Optional.empty(), false, fleet, T0);
         return jobs.get(JOB).orElseThrow();
     }
 
@@ -64,6 +65,7 @@
             jobs.add(
                     Samples.job(JOB, Samples.longRunning(1, Samples.NEED, PlacementRule.ANY)),
                     Optional.empty(),
+                    false,
                     fleet,
                     T0);
             jobs.finish(jobs.get(JOB).orElseThrow(), JobStatus.CANCELLED, T0 + 1);
--- a/core/src/test/java/org/pollensill/dispatch/LeaseBoundsRecorderTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/LeaseBoundsRecorderTest.java
@@ -98,6 +98,7 @@
                     Map.of(),
                     Optional.of(new LeaseBounds(18_300, 8_300, runners)),
                     false,
+                    Optional.empty(),
                     Optional.empty());
             int bytes = row.encode().length();
             assertTrue(bytes < 50_000, bytes + " bytes");
--- a/core/src/test/java/org/pollensill/dispatch/OverdueTasksTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/OverdueTasksTest.java
@@ -209,8 +209,10 @@
         // An idle runner is asked every 20 s, so its last answer may be far older than the run.
         @Test
         void shouldNotCountTheWaitFromBeforeTheRun() {
-            JobTable jobs =
-                    new JobTable(new PendingChanges("progress/", new CountingListener()), new CountingListener());
+            JobTable jobs = new JobTable(
+                    new PendingChanges("progress/", new CountingListener()),
+                    new StateLimit(Long.MAX_VALUE),
+                    new CountingListener());
             Fleet fleet = new Fleet(InheritedLeases.unrecorded(0));
             fleet.update(List.of(Samples.runner("r1")));
             RunnerState runner = fleet.get("r1").orElseThrow();
@@ -222,7 +224,7 @@
                     new RecordedOrders(),
                     new StepAvailability());
             jobs.setCatalogue(Samples.catalogue(2));
-            jobs.add(Samples.job(LONG_RUNNING_JOB, longRunning(1, Samples.NEED)), Optional.empty(), fleet, T0);
+            jobs.add(Samples.job(LONG_RUNNING_JOB, longRunning(1, Samples.NEED)), Optional.empty(), false, fleet, T0);
             TaskState task = jobs.task(new TaskName(LONG_RUNNING_JOB, 0, 0, 0)).orElseThrow();
             runner.lastAnswerAtMs = T0 - 15_000;
             task.placeOn(runner, T0);
--- a/core/src/test/java/org/pollensill/dispatch/SimulatedLeader.java
+++ b/core/src/test/java/org/pollensill/dispatch/SimulatedLeader.java
@@ -90,6 +90,7 @@
                 Map.of(),
                 Optional.empty(),
                 false,
+                Optional.empty(),
                 Optional.empty());
         CommitChain chain = CommitChain.campaign(
                 LEASE_ROW_KEY, candidate, present.map(Row::version).orElse(0L));
--- a/core/src/test/java/org/pollensill/dispatch/WaitExplainerTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/WaitExplainerTest.java
@@ -184,10 +184,12 @@
             fleet.update(List.of(Samples.runner("r1")));
             RunnerState runner = fleet.get("r1").orElseThrow();
             runner.fenceConfirmed = true;
-            JobTable jobs = new JobTable(new PendingChanges("progress/", new CountingListener()), listener);
+            JobTable jobs = new JobTable(
+                    new PendingChanges("progress/", new CountingListener()), new StateLimit(Long.MAX_VALUE), listener);
             jobs.add(
                     Samples.job(jobId(1), needing(new Resources(1_000, Samples.MB, 0), Trait.FILLS)),
                     Optional.empty(),
+                    false,
                     fleet,
                     T0);
             RunnerSelector selector = new RunnerSelector(new InterferenceModel());
@@ -198,6 +200,7 @@
                     selector,
                     null,
                     new CapacityReservations(fleet, selector, listener),
+                    new StateSize(Long.MAX_VALUE),
                     listener);
             new WaitExplainer(jobs, fleet, selector, scheduler, listener).tick(EXPLAINED_MS);
             assertEquals(1, onlyReport().fittingRunners());
--- a/core/src/test/java/org/pollensill/leader/CommitChainTest.java
+++ b/core/src/test/java/org/pollensill/leader/CommitChainTest.java
@@ -21,7 +21,17 @@
     private static final String KEY = "leader/lease";
 
     private final LeaderRow candidate = new LeaderRow(
-            "a", "a-1", "10.0.0.1:7000", 5, 0, false, Map.of(), Optional.empty(), false, Optional.empty());
+            "a",
+            "a-1",
+            "10.0.0.1:7000",
+            5,
+            0,
+            false,
+            Map.of(),
+            Optional.empty(),
+            false,
+            Optional.empty(),
+            Optional.empty());
     private final CommitChain chain = CommitChain.campaign(KEY, candidate, 40);
 
     private void begin() {
@@ -34,7 +44,17 @@
 
     private LeaderRow ownRow(long sequence) {
         return new LeaderRow(
-                "a", "a-1", "10.0.0.1:7000", 5, sequence, false, Map.of(), Optional.empty(), false, Optional.empty());
+                "a",
+                "a-1",
+                "10.0.0.1:7000",
+                5,
+                sequence,
+                false,
+                Map.of(),
+                Optional.empty(),
+                false,
+                Optional.empty(),
+                Optional.empty());
     }
 
     @Nested
@@ -129,7 +149,17 @@
             begin();
             chain.onOutcome(new CommitOutcome.Conflicted(Map.of(KEY, 60L)));
             LeaderRow other = new LeaderRow(
-                    "b", "b-1", "10.0.0.2:7000", 6, 1, false, Map.of(), Optional.empty(), false, Optional.empty());
+                    "b",
+                    "b-1",
+                    "10.0.0.2:7000",
+                    6,
+                    1,
+                    false,
+                    Map.of(),
+                    Optional.empty(),
+                    false,
+                    Optional.empty(),
+                    Optional.empty());
             assertEquals(CommitChain.Next.DEPOSED, chain.onRow(Optional.of(row(other, 60))));
         }
 
--- a/core/src/test/java/org/pollensill/leader/LeaderRowTest.java
+++ b/core/src/test/java/org/pollensill/leader/LeaderRowTest.java
@@ -6,6 +6,7 @@
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.pollensill.admission.MemoryCredit;
 import org.pollensill.json.JsonSyntaxException;
 import org.pollensill.platform.CommitOutcome;
 
@@ -32,7 +33,8 @@
                     Map.of("q", 2),
                     Optional.of(bounds),
                     false,
-                    Optional.empty());
+                    Optional.empty(),
+                    Optional.of(new MemoryCredit(5_000_000, 70)));
             assertEquals(row, LeaderRow.decode(row.encode()));
         }
 
@@ -51,7 +53,17 @@
         @Test
         void shouldBeStoredUntilTheStateIsLoaded() throws JsonSyntaxException {
             LeaderRow candidate = new LeaderRow(
-                    "a", "a-1", "10.0.0.1:7000", 5, 0, false, Map.of(), Optional.empty(), false, Optional.empty());
+                    "a",
+                    "a-1",
+                    "10.0.0.1:7000",
+                    5,
+                    0,
+                    false,
+                    Map.of(),
+                    Optional.empty(),
+                    false,
+                    Optional.empty(),
+                    Optional.empty());
             CommitChain chain = CommitChain.campaign("leader/lease", candidate, 0);
             chain.setLoading(true);
             chain.begin(Map.of(), LeaseBounds.NONE, false, List.of());
--- a/core/src/test/java/org/pollensill/leader/LeaderWatchTest.java
+++ b/core/src/test/java/org/pollensill/leader/LeaderWatchTest.java
@@ -17,7 +17,17 @@
 
     private static Optional<LeaderRow> row(boolean released) {
         return Optional.of(new LeaderRow(
-                "a", "a-1", "10.0.0.1:7000", 5, 1, released, Map.of(), Optional.empty(), false, Optional.empty()));
+                "a",
+                "a-1",
+                "10.0.0.1:7000",
+                5,
+                1,
+                released,
+                Map.of(),
+                Optional.empty(),
+                false,
+                Optional.empty(),
+                Optional.empty()));
     }
 
     @Nested
@@ -83,7 +93,17 @@
             watch.onLeaderUnavailable("a-1", true);
             watch.onRow(
                     Optional.of(new LeaderRow(
-                            "b", "b-1", "", 6, 1, false, Map.of(), Optional.empty(), false, Optional.empty())),
+                            "b",
+                            "b-1",
+                            "",
+                            6,
+                            1,
+                            false,
+                            Map.of(),
+                            Optional.empty(),
+                            false,
+                            Optional.empty(),
+                            Optional.empty())),
                     9,
                     1_200,
                     1_200);
