--- a/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/Coordinator.java
@@ -103,10 +103,9 @@
         MemoryAccount account = new MemoryAccount();
         IntakeWriter intakeWriter = new IntakeWriter(
                 loop::nowMs, loop::schedule, store, health, incarnation, settings.maxRowBytes(), account::stored);
-        JobStateReader stateReader = new JobStateReader(store, health);
-        JobCanceller canceller = new JobCanceller(loop::nowMs, loop::schedule, store, health, stateReader);
-        this.endpoint =
-                new JobEndpoint(context, configWatcher, elector, peers, account, intakeWriter, stateReader, canceller);
+        JobCanceller canceller =
+                new JobCanceller(loop::nowMs, loop::schedule, store, health, new JobStateReader(store, health));
+        this.endpoint = new JobEndpoint(context, configWatcher, elector, peers, account, intakeWriter, canceller);
     }
 
     /** Ends the process at once: its shutdown hooks would need the event loop that has failed. */
--- a/coordinator/src/main/java/org/pollensill/coordinator/JobEndpoint.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/JobEndpoint.java
@@ -65,7 +65,6 @@
             Peers peers,
             MemoryAccount account,
             IntakeWriter intakeWriter,
-            JobStateReader stateReader,
             JobCanceller canceller) {
         this.loop = context.loop();
         this.health = context.health();
@@ -74,7 +73,7 @@
         this.peers = peers;
         this.account = account;
         this.intakeWriter = intakeWriter;
-        this.stateReader = stateReader;
+        this.stateReader = new JobStateReader(context.store(), context.health());
         this.canceller = canceller;
         this.metrics = context.metrics();
         this.admission = context.settings()
--- a/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/pollensill/dispatch/Dispatcher.java
@@ -64,8 +64,7 @@
         this.limit = new StateLimit(JobMemory.limitBytes());
         this.jobs = new JobTable(pendingChanges, limit, listener);
         this.retention = new JobRetention(jobs, earlyCancellations);
-        StateSize stateSize = new StateSize(JobMemory.limitBytes());
-        this.forecaster = new LoadForecaster(jobs, fleet, stateSize);
+        this.forecaster = new LoadForecaster(jobs, fleet);
         RunnerHealth health = new RunnerHealth(listener);
         this.reportHandler = new ReportHandler(jobs, pendingChanges, health, listener, orders, availability);
         this.starts = new StartSender(fencingToken, orders, leaseBounds, fleet, jobs, health, reportHandler);
@@ -77,7 +76,6 @@
                 runnerSelector,
                 new Preemptor(fleet, runnerSelector, reportHandler, availability, listener),
                 new CapacityReservations(fleet, runnerSelector, listener),
-                stateSize,
                 listener);
         this.waitExplainer = new WaitExplainer(jobs, fleet, runnerSelector, taskScheduler, listener);
         this.withoutRunMonitor = new WithoutRunMonitor(jobs, fleet, runnerSelector, listener);
--- a/core/src/main/java/org/pollensill/dispatch/JobTable.java
+++ b/core/src/main/java/org/pollensill/dispatch/JobTable.java
@@ -59,6 +59,11 @@
         return jobs.values();
     }
 
+    /** Returns the memory that the jobs take at present. */
+    StateSize stateSize() {
+        return limit.stateSize();
+    }
+
     PlacementCounts placementCounts() {
         return placementCounts;
     }
--- a/core/src/main/java/org/pollensill/dispatch/LoadForecaster.java
+++ b/core/src/main/java/org/pollensill/dispatch/LoadForecaster.java
@@ -28,16 +28,14 @@
 
     private final JobTable jobs;
     private final Fleet fleet;
-    private final StateSize stateSize;
     private final ArrivalRates arrivals = new ArrivalRates();
     private Optional<Long> firstTickAtMs = Optional.empty();
     private long computedAtMs = Long.MIN_VALUE / 2;
     private Optional<LoadForecast> current = Optional.empty();
 
-    LoadForecaster(JobTable jobs, Fleet fleet, StateSize stateSize) {
+    LoadForecaster(JobTable jobs, Fleet fleet) {
         this.jobs = jobs;
         this.fleet = fleet;
-        this.stateSize = stateSize;
     }
 
     /** Records that a job was accepted. */
@@ -55,7 +53,7 @@
             computedAtMs = nowMs;
             boolean roomKnown = nowMs - firstTickAtMs.get() >= FIRST_REPORTS_MS;
             current = Optional.of(
-                    new LoadForecast(stateSize.measure(jobs.all()), roomKnown ? services(nowMs) : Map.of()));
+                    new LoadForecast(jobs.stateSize().measure(jobs.all()), roomKnown ? services(nowMs) : Map.of()));
         }
     }
 
--- a/core/src/main/java/org/pollensill/dispatch/OccurrenceState.java
+++ b/core/src/main/java/org/pollensill/dispatch/OccurrenceState.java
@@ -72,13 +72,13 @@
         long[] endMs = new long[steps.size()];
         for (int i = 0; i < endMs.length; i++) {
             StepState step = steps.get(i);
-            long beginMs = 0;
+            long stepBeginMs = 0;
             for (int before : step.spec.predecessors()) {
                 if (before >= 0 && before < i) {
-                    beginMs = Math.max(beginMs, endMs[before]);
+                    stepBeginMs = Math.max(stepBeginMs, endMs[before]);
                 }
             }
-            endMs[i] = beginMs + (step.complete() ? 0 : step.spec.estimateMs());
+            endMs[i] = stepBeginMs + (step.complete() ? 0 : step.spec.estimateMs());
             longestMs = Math.max(longestMs, endMs[i]);
         }
         return longestMs;
--- a/core/src/main/java/org/pollensill/dispatch/StateLimit.java
+++ b/core/src/main/java/org/pollensill/dispatch/StateLimit.java
@@ -19,6 +19,7 @@
             .reversed();
 
     private final long maxBytes;
+    private final StateSize stateSize;
     private final DeferredJobs deferred = new DeferredJobs();
     /** The jobs that have not begun, until the leader sends orders. */
     private final PriorityQueue<JobState> deferrable = new PriorityQueue<>(LEAST_URGENT_FIRST);
@@ -33,6 +34,12 @@
      */
     StateLimit(long maxBytes) {
         this.maxBytes = maxBytes;
+        this.stateSize = new StateSize(maxBytes);
+    }
+
+    /** Returns the memory that the jobs take at present. */
+    StateSize stateSize() {
+        return stateSize;
     }
 
     DeferredJobs deferred() {
--- a/core/src/main/java/org/pollensill/dispatch/TaskScheduler.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskScheduler.java
@@ -36,7 +36,6 @@
     private final RunnerSelector runnerSelector;
     private final Preemptor preemptor;
     private final CapacityReservations reservations;
-    private final StateSize stateSize;
     private final DispatchListener listener;
     /** The needs for which no runner was found in this round. */
     private final Set<PlacementNeed> unplaceable = new HashSet<>();
@@ -51,7 +50,6 @@
             RunnerSelector runnerSelector,
             Preemptor preemptor,
             CapacityReservations reservations,
-            StateSize stateSize,
             DispatchListener listener) {
         this.jobs = jobs;
         this.fleet = fleet;
@@ -59,7 +57,6 @@
         this.runnerSelector = runnerSelector;
         this.preemptor = preemptor;
         this.reservations = reservations;
-        this.stateSize = stateSize;
         this.listener = listener;
     }
 
@@ -101,7 +98,8 @@
         Optional<String> rack = requiredRack(step);
         List<TaskState> claimed = placeOnClaimedRunners(step, nowMs);
         // Tasks with a claim come last: a free slot elsewhere spares another task a preemption.
-        Iterator<TaskState> unclaimed = step.tasks.unclaimed(nowMs, stateSize.hasRoomForTasks());
+        Iterator<TaskState> unclaimed =
+                step.tasks.unclaimed(nowMs, jobs.stateSize().hasRoomForTasks());
         Iterator<TaskState> waiting = unclaimed.hasNext() ? unclaimed : claimed.iterator();
         Optional<TaskState> unplaced = Optional.empty();
         boolean placed = false;
@@ -239,7 +237,7 @@
         }
         task.placeOn(runner, nowMs);
         if (task.run == 1) {
-            stateSize.taskAdded();
+            jobs.stateSize().taskAdded();
         }
         placementsInRound++;
         jobs.placementCounts().placed(task.step, runner);
--- a/core/src/test/java/org/pollensill/dispatch/WaitExplainerTest.java
+++ b/core/src/test/java/org/pollensill/dispatch/WaitExplainerTest.java
@@ -200,7 +200,6 @@
                     selector,
                     null,
                     new CapacityReservations(fleet, selector, listener),
-                    new StateSize(Long.MAX_VALUE),
                     listener);
             new WaitExplainer(jobs, fleet, selector, scheduler, listener).tick(EXPLAINED_MS);
             assertEquals(1, onlyReport().fittingRunners());
