Search each need again until a round has done many searches

A need without room was skipped for the rest of a round from its first search on.

IntakeWriterTest: the version of a stored job is told. RoundBoundTest passes with the bound unchanged.

--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderElector.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderElector.java
@@ -66,7 +66,7 @@
 
     private boolean stopping;
     /** The latest format of stored jobs that all members read. */
-    private int memberCount = 1;
+    private int memberCount;
 
     private int commonFormat = Member.PROGRESS_IN_ONE_ROW;
 
--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderSession.java
@@ -81,7 +81,9 @@
     private String storedEstimates = "";
     private long estimatesCheckedAtMs;
     private final MemoryGrants grants = new MemoryGrants();
-    private int coordinators = 1;
+    /** Number of coordinators that accept jobs, 0 while it is unknown. */
+    private int coordinators;
+
     /** Version of the store up to which the accepted jobs are known. */
     private long intakeVersion;
 
@@ -162,7 +164,7 @@
 
     /** Returns the memory for further jobs that each coordinator has, empty while the state is being loaded. */
     Optional<MemoryCredit> credit() {
-        if (!loaded()) {
+        if (!loaded() || coordinators == 0) {
             return Optional.empty();
         }
         long shareBytes = grants.shareBytes(dispatcher.freeBytes(), coordinators, loop.nowMs());
--- a/coordinator/src/test/java/org/pollensill/coordinator/IntakeWriterTest.java
+++ b/coordinator/src/test/java/org/pollensill/coordinator/IntakeWriterTest.java
@@ -81,6 +81,25 @@
         return Optional.ofNullable(result.getNow(null));
     }
 
+    // A job whose version is unknown counts against the credit of its coordinator for longer than it has to.
+    @Nested
+    class StoredVersions {
+
+        @Test
+        void shouldTellTheVersionOfAWrittenJob() {
+            writer.store(job("aaaaaaaaaaaaaaaa"), DEADLINE_MS);
+            answers.get(0).complete(new CommitOutcome.Committed(Map.of(Tables.jobKey("aaaaaaaaaaaaaaaa"), 7L)));
+            assertEquals(Map.of("aaaaaaaaaaaaaaaa", 7L), storedVersions);
+        }
+
+        @Test
+        void shouldTellTheVersionOfAJobThatAnEarlierAttemptHasWritten() {
+            writer.store(job("aaaaaaaaaaaaaaaa"), DEADLINE_MS);
+            answers.get(0).complete(new CommitOutcome.Conflicted(Map.of(Tables.jobKey("aaaaaaaaaaaaaaaa"), 5L)));
+            assertEquals(Map.of("aaaaaaaaaaaaaaaa", 5L), storedVersions);
+        }
+    }
+
     @Nested
     class UnresponsiveStore {
 
--- a/core/src/main/java/org/pollensill/dispatch/TaskScheduler.java
+++ b/core/src/main/java/org/pollensill/dispatch/TaskScheduler.java
@@ -24,6 +24,9 @@
      */
     static final long SLOT_RESERVATION_MS = 1_000;
 
+    /** Number of searches in a round after which a need for which no runner was found is not searched for again. */
+    private static final int FULL_SEARCHES_PER_ROUND = 200;
+
     /** Maximum number of tasks that a round places, apart from the other members of a gang. */
     static final int MAX_PLACEMENTS_PER_ROUND = 1_000;
 
@@ -41,6 +44,7 @@
     private final Set<PlacementNeed> unplaceable = new HashSet<>();
 
     private int placementsInRound;
+    private int searchesInRound;
     private long shortTaskUnplacedAtMs = Long.MIN_VALUE / 2;
 
     TaskScheduler(
@@ -63,6 +67,7 @@
     void place(long nowMs) {
         unplaceable.clear();
         placementsInRound = 0;
+        searchesInRound = 0;
         List<StepState> steps = jobs.readySteps(nowMs);
         preemptor.beginRound(steps, nowMs);
         reservations.placeOverdue(steps, nowMs, new OverduePlacement(nowMs));
@@ -186,10 +191,13 @@
 
     /** Returns a runner for a task, on any rack if none fits on the required one. */
     private Optional<RunnerState> choose(TaskState task, Optional<String> rack, long nowMs) {
-        boolean sharesNeed = PlacementNeed.decidesFor(task.step) && !isHeldForTask(task);
+        boolean sharesNeed = searchesInRound >= FULL_SEARCHES_PER_ROUND
+                && PlacementNeed.decidesFor(task.step)
+                && !isHeldForTask(task);
         if (sharesNeed && unplaceable.contains(PlacementNeed.of(task.step))) {
             return Optional.empty();
         }
+        searchesInRound++;
         Optional<RunnerState> runner = runnerSelector.choose(task, fleet.all(), rack, nowMs);
         if (runner.isEmpty() && rack.isPresent()) {
             runner = runnerSelector.choose(task, fleet.all(), Optional.empty(), nowMs);
