Give a credit before the first leader of a store

Cause: a coordinator has no credit before it has read a leader row, and there is none yet. Where the store has no row, no accepted job takes memory, so each coordinator may accept a small part; the first leader's row says the same until it has loaded.

--- a/coordinator/src/main/java/org/pollensill/coordinator/LeaderElector.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/LeaderElector.java
@@ -9,6 +9,7 @@
 
 import org.pollensill.admission.LoadForecast;
 import org.pollensill.admission.MemoryCredit;
+import org.pollensill.admission.MemoryGrants;
 import org.pollensill.dispatch.InheritedLeases;
 import org.pollensill.json.JsonSyntaxException;
 import org.pollensill.leader.CommitChain;
@@ -118,7 +119,14 @@
     /** Returns the memory for further jobs that a leader has given last, empty where none is known. */
     Optional<MemoryCredit> credit() {
         Optional<MemoryCredit> own = session.flatMap(LeaderSession::credit);
-        return own.isPresent() ? own : watch.row().flatMap(LeaderRow::credit);
+        return own.isPresent() ? own : formerCredit();
+    }
+
+    /** Returns the credit in the leader row, that before the first leader where the store has no row. */
+    private Optional<MemoryCredit> formerCredit() {
+        return watch.neverLed()
+                ? Optional.of(MemoryGrants.firstCredit())
+                : watch.row().flatMap(LeaderRow::credit);
     }
 
     /** Sets the live members; a format of stored jobs is used only once all of them can read it. */
@@ -251,7 +259,7 @@
                 Optional.of(inherited.remaining(loop.nowMs())),
                 false,
                 Optional.empty(),
-                watch.row().flatMap(LeaderRow::credit));
+                formerCredit());
         CommitChain chain = CommitChain.campaign(Tables.LEADER_KEY, candidate, watch.rowVersion());
         chain.setLoading(true);
         chain.begin(candidate.waitingJobs(), inherited.remaining(loop.nowMs()), false, List.of());
--- a/core/src/main/java/org/pollensill/admission/MemoryGrants.java
+++ b/core/src/main/java/org/pollensill/admission/MemoryGrants.java
@@ -15,10 +15,22 @@
     /** Part of the free memory that the shares of all coordinators take; the rest is for grants. */
     private static final double SHARED_FRACTION = 0.5;
 
+    /** Number of coordinators that share what is free before the first leader. */
+    private static final int FIRST_COORDINATORS = 16;
+
     private record Grant(long bytes, long untilMs) {}
 
     private final Map<String, Grant> grants = new HashMap<>();
 
+    /**
+     * Returns the credit of each coordinator before the first leader of a store.
+     *
+     * @return the credit
+     */
+    public static MemoryCredit firstCredit() {
+        return new MemoryCredit((long) (SHARED_FRACTION * JobMemory.limitBytes()) / FIRST_COORDINATORS, 0);
+    }
+
     /**
      * Grants memory to a job if enough is free beside the shares.
      *
--- a/core/src/main/java/org/pollensill/leader/LeaderWatch.java
+++ b/core/src/main/java/org/pollensill/leader/LeaderWatch.java
@@ -3,6 +3,8 @@
 import java.util.Objects;
 import java.util.Optional;
 
+import org.pollensill.platform.Condition;
+
 /**
  * A follower's view of the leader lease. It only decides when a takeover should be attempted; safety is ensured by the
  * condition on the row's version and by the fencing token.
@@ -103,6 +105,15 @@
         return rowRead && (row.isEmpty() || row.get().released() || leaderUnreachable);
     }
 
+    /**
+     * Returns whether the store has never had a leader, so that no accepted job takes memory of one.
+     *
+     * @return true once a read has found no leader row
+     */
+    public boolean neverLed() {
+        return rowRead && rowVersion == Condition.ABSENT;
+    }
+
     /**
      * Returns the row as last read.
      *
--- a/core/src/test/java/org/pollensill/admission/MemoryAdmissionTest.java
+++ b/core/src/test/java/org/pollensill/admission/MemoryAdmissionTest.java
@@ -82,6 +82,16 @@
             assertFalse(account.charge(JOB, 1));
         }
 
+        // A deployment that has just started rejected its first jobs until its first leader had loaded the state.
+        @Test
+        void shouldGiveACreditBeforeTheFirstLeader() {
+            MemoryCredit first = MemoryGrants.firstCredit();
+            account.update(first, 0);
+            assertTrue(account.charge(JOB, 10_000));
+            assertFalse(account.charge("b", first.shareBytes()));
+            assertTrue(16 * first.shareBytes() <= JobMemory.limitBytes() / 2);
+        }
+
         @Test
         void shouldRunDownWithoutALeader() {
             account.update(new MemoryCredit(100, 10), 0);
--- a/core/src/test/java/org/pollensill/leader/LeaderWatchTest.java
+++ b/core/src/test/java/org/pollensill/leader/LeaderWatchTest.java
@@ -33,6 +33,13 @@
     @Nested
     class Campaigns {
 
+        @Test
+        void shouldKnowThatThereWasNoLeaderOnceNoRowWasRead() {
+            assertFalse(watch.neverLed());
+            watch.onRow(Optional.empty(), 0, 1_000, 1_000);
+            assertTrue(watch.neverLed());
+        }
+
         @Test
         void shouldNotCampaignBeforeTheRowWasRead() {
             assertFalse(watch.shouldCampaign(1_000_000, 0));
