--- a/coordinator/src/main/java/org/pollensill/coordinator/JobEndpoint.java
+++ b/coordinator/src/main/java/org/pollensill/coordinator/JobEndpoint.java
@@ -173,14 +173,14 @@
                 .map(decides -> decides.decide(job, elector.forecast()))
                 .filter(decision -> !decision.accepted());
         if (rejection.isPresent()) {
-            rejectUnlessStored(job, queue, rejection.get(), responder, deadlineMs);
+            rejectUnlessStored(id, queue, rejection.get(), responder);
             return;
         }
         hasMemory(job).thenAccept(granted -> {
             if (granted) {
                 store(job, queue, responder, deadlineMs);
             } else {
-                rejectUnlessStored(job, queue, memoryAdmission.rejection(), responder, deadlineMs);
+                rejectUnlessStored(id, queue, memoryAdmission.rejection(), responder);
             }
         });
     }
@@ -200,9 +200,7 @@
                 .orElseGet(() -> peers.grantMemory(job.id(), bytes));
     }
 
-    private void rejectUnlessStored(
-            JobRequest job, QueuePolicy queue, AdmissionDecision rejection, Responder responder, long deadlineMs) {
-        String id = job.id();
+    private void rejectUnlessStored(String id, QueuePolicy queue, AdmissionDecision rejection, Responder responder) {
         // A job of which an earlier attempt is stored runs, so it cannot be said not to.
         stateReader.read(id).whenComplete((state, failure) -> {
             if (failure != null) {
